Run whole deployments on a network in memory, in fake time

Cause: failures between processes need cuts and kills at exact moments, and a verdict that does not depend on the machine's speed. Ruled out: real processes for each case, since their verdicts depend on the clock; they stay for kills and freezes of a process.

--- a/cmd/crocus-entry/main.go
+++ b/cmd/crocus-entry/main.go
@@ -10,6 +10,7 @@
 	"crocusfold.dev/cmd/internal/daemon"
 	"crocusfold.dev/entry/config"
 	"crocusfold.dev/entry/node"
+	"crocusfold.dev/platform/network"
 )
 
 const usage = `An entry instance of crocusfold. It serves callers over HTTP, routes
@@ -31,9 +32,5 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := node.NewNode(cfg, log.With(logger, "instance", cfg.Name))
-	if err != nil {
-		return nil, err
-	}
-	return n.Run, nil
+	return node.NewNode(cfg, network.Network{}, log.With(logger, "instance", cfg.Name)).Run, nil
 }
--- a/cmd/crocus-standin/main.go
+++ b/cmd/crocus-standin/main.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"crocusfold.dev/cmd/internal/daemon"
+	"crocusfold.dev/platform/network"
 	"crocusfold.dev/platform/settings"
 	"crocusfold.dev/standin/stage"
 )
@@ -32,5 +33,5 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
-	return s.Run, nil
+	return func(ctx context.Context) error { return s.Run(ctx, func(string) network.Network { return network.Network{} }) }, nil
 }
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -23,6 +23,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/limits"
 	"crocusfold.dev/entry/strikes"
+	"crocusfold.dev/platform/network"
 )
 
 // Gate answers requests. The exported fields must be set before Handler.
@@ -35,7 +36,9 @@
 	Strikes  *strikes.Strikes
 	Cache    *cache.Cache
 	Engines  *engineclient.Client
-	Metrics  tally.Scope
+	// Network opens the connections of orders, one for each.
+	Network network.Network
+	Metrics tally.Scope
 	// MetricsPage serves the metrics to the scraper.
 	MetricsPage http.Handler
 	Logger      log.Logger
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -281,9 +281,8 @@
 // send makes one call on a connection of its own. Its first write is where
 // "not run" stops being true, so that is where the attempt begins.
 func (r *serviceRun) send(ctx context.Context, u upstream.Upstream, att *attempt.Attempt) (serviceAnswer, error) {
-	dialer := &net.Dialer{Timeout: time.Second}
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := r.gate.Network.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -21,6 +21,8 @@
 type Mesh struct {
 	Self  roster.Member
 	Token string
+	// Client opens the connections; nil means http.DefaultClient.
+	Client *http.Client
 
 	mu       sync.Mutex
 	peers    map[netip.AddrPort]*peer.Peer
@@ -86,14 +88,20 @@
 	}
 	p, ok := m.peers[address]
 	if !ok {
-		p = &peer.Peer{Address: address, Self: m.Self.Name, Token: m.Token}
+		p = &peer.Peer{Address: address, Self: m.Self.Name, Token: m.Token, Client: m.Client}
 		m.peers[address] = p
 	}
 	return p
 }
 
-// Reset drops the connection to a member, so that the next call connects anew.
-func (m *Mesh) Reset(to roster.Member) { m.peer(to.Address).Close() }
+// Close ends all connections to peers.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		p.Close()
+	}
+}
 
 // Ask calls a member and expects an answer of type T.
 func Ask[T message.Message](ctx context.Context, m *Mesh, to roster.Member, msg message.Message) (T, error) {
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -5,12 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
@@ -26,6 +26,7 @@
 	"crocusfold.dev/entry/strikes"
 	"crocusfold.dev/platform/instances"
 	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/platform/network"
 	"crocusfold.dev/platform/peer"
 )
 
@@ -34,16 +35,14 @@
 
 // Limits of the HTTP servers and clients.
 const (
-	headerLimit   = 10 * time.Second
-	dialLimit     = 500 * time.Millisecond
-	idleLimit     = 90 * time.Second
-	maxIdlePerHop = 128
-	metricsEvery  = time.Second
+	headerLimit  = 10 * time.Second
+	metricsEvery = time.Second
 )
 
 // Node is an entry instance.
 type Node struct {
 	cfg    config.Settings
+	net    network.Network
 	logger log.Logger
 	follow *follow.Follower
 	desk   *desk.Desk
@@ -55,13 +54,13 @@
 }
 
 // NewNode builds an instance from its settings.
-func NewNode(cfg config.Settings, logger log.Logger) (*Node, error) {
-	n := &Node{cfg: cfg, logger: logger}
+func NewNode(cfg config.Settings, net network.Network, logger log.Logger) *Node {
+	n := &Node{cfg: cfg, net: net, logger: logger}
 	part := func(name string) log.Logger { return log.With(logger, "part", name) }
-	upstreams := &http.Client{Transport: newTransport()}
-	platform := &http.Client{Transport: named{cfg.Name, newTransport()}}
+	upstreams := &http.Client{Transport: net.Transport()}
+	platform := &http.Client{Transport: named{cfg.Name, net.Transport()}}
 	self := cfg.Member()
-	n.mesh = &mesh.Mesh{Self: self, Token: cfg.PeerToken}
+	n.mesh = &mesh.Mesh{Self: self, Token: cfg.PeerToken, Client: &http.Client{Transport: net.Transport()}}
 	n.follow = &follow.Follower{
 		Self: self, Mesh: n.mesh, Logger: part("config"),
 		Log:  &logstream.Stream{Address: cfg.Log, Name: configStream, Client: platform},
@@ -72,26 +71,25 @@
 	n.limits = &limits.Limits{Self: self, Follow: n.follow, Mesh: n.mesh}
 	struck := &strikes.Strikes{Self: self, Follow: n.follow, Mesh: n.mesh}
 	struck.Attach()
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "crocusfold", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 	}, metricsEvery)
-	n.close = func() { _ = closer.Close() }
+	n.close = func() {
+		n.mesh.Close()
+		upstreams.CloseIdleConnections()
+		platform.CloseIdleConnections()
+		_ = closer.Close()
+	}
 	n.gate = &gate.Gate{
 		Settings: cfg, Follow: n.follow, Desk: n.desk, Fleet: n.fleet, Limits: n.limits, Strikes: struck,
 		Cache:   &cache.Cache{Client: upstreams, Logger: part("cache")},
 		Engines: &engineclient.Client{HTTP: upstreams},
+		Network: net,
 		Metrics: scope, MetricsPage: reporter.HTTPHandler(), Logger: part("gate"),
 	}
-	return n, nil
-}
-
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHop,
-		IdleConnTimeout:     idleLimit,
-	}
+	return n
 }
 
 // named tells the platform which instance calls.
@@ -117,11 +115,11 @@
 	n.fleet.Attach()
 	n.limits.Attach()
 	n.desk.Attach(work)
-	callers, err := net.Listen("tcp", n.cfg.Listen.String())
+	callers, err := n.net.Listen(n.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
-	peers, err := net.Listen("tcp", n.cfg.PeerListen.String())
+	peers, err := n.net.Listen(n.cfg.PeerListen)
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
--- a/standin/engine/context.go
+++ b/standin/engine/context.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(hr)
+	resp, err := e.client().Do(hr)
 	if err != nil {
 		return false
 	}
@@ -58,6 +58,13 @@
 	return string(data) == content(key)
 }
 
+func (e *Engine) client() *http.Client {
+	if e.Client == nil {
+		return http.DefaultClient
+	}
+	return e.Client
+}
+
 // content is what the stand-in writes as a block's KV data.
 func content(key block.Key) string { return strings.Repeat(key.String(), 8) }
 
@@ -96,7 +103,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := e.client().Do(req)
 	if err != nil {
 		return false
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -48,8 +48,9 @@
 	Name, Model, Version string
 	// Fencing is true if orders with an old number are refused.
 	Fencing bool
-	// Account-independent sizes.
-	Timing Timing
+	Timing  Timing
+	// Client calls the stores; nil means http.DefaultClient.
+	Client *http.Client
 
 	faults fault.Switch[Faults]
 	mu     sync.Mutex
@@ -61,11 +62,13 @@
 	// running and peakCold are in requests at once.
 	running, peakCold int
 	deaths            int
-	fence             uint64
-	cache             map[block.Key]int
-	order             []block.Key
-	events            []Event
-	reports           []loadReport
+	// started counts the requests that were begun.
+	started int
+	fence   uint64
+	cache   map[block.Key]int
+	order   []block.Key
+	events  []Event
+	reports []loadReport
 }
 
 // Event is one change of the prefix cache.
@@ -178,7 +181,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	fault.WriteJSON(w, map[string]any{
-		"deaths": e.deaths, "peak-cold": e.peakCold, "running": e.running, "version": e.Version,
+		"deaths": e.deaths, "peak-cold": e.peakCold, "running": e.running, "started": e.started, "version": e.Version,
 	})
 }
 
@@ -186,6 +189,7 @@
 func (e *Engine) enter() (life context.Context, cold bool) {
 	e.mu.Lock()
 	e.running++
+	e.started++
 	cold = time.Since(e.born) < e.Timing.WarmUp
 	if cold {
 		e.peakCold = max(e.peakCold, e.running)
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -4,12 +4,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"crocusfold.dev/core/roster"
+	"crocusfold.dev/platform/network"
 	"crocusfold.dev/standin/engine"
 	"crocusfold.dev/standin/instancelist"
 	"crocusfold.dev/standin/kvstore"
@@ -63,21 +63,23 @@
 }
 
 type server struct {
+	name    string
 	listen  netip.AddrPort
 	handler http.Handler
 }
 
-// Run serves all stand-ins until ctx ends.
-func (s Stage) Run(ctx context.Context) error {
-	all := s.servers()
+// Run serves all stand-ins until ctx ends. Each is on the network that on
+// returns for its name.
+func (s Stage) Run(ctx context.Context, on func(name string) network.Network) error {
+	all := s.servers(on)
 	if len(all) == 0 {
 		return fmt.Errorf("starting stand-ins: the file lists none")
 	}
 	errs := make(chan error, len(all))
 	for _, one := range all {
-		ln, err := net.Listen("tcp", one.listen.String())
+		ln, err := on(one.name).Listen(one.listen)
 		if err != nil {
-			return fmt.Errorf("listening on %s: %w", one.listen, err)
+			return fmt.Errorf("starting a stand-in: %w", err)
 		}
 		srv := &http.Server{Handler: one.handler, ReadHeaderTimeout: 10 * time.Second}
 		defer srv.Close()
@@ -91,35 +93,35 @@
 	}
 }
 
-func (s Stage) servers() []server {
+func (s Stage) servers(on func(string) network.Network) []server {
 	var all []server
 	for _, l := range s.Logs {
 		svc := &logservice.Service{Retention: l.Retention, Rate: l.Rate}
-		all = append(all, server{l.Listen, svc.Handler()})
+		all = append(all, server{"log", l.Listen, svc.Handler()})
 	}
 	for _, l := range s.Instances {
 		list := &instancelist.List{}
 		for _, m := range l.Members {
 			list.Put(m)
 		}
-		all = append(all, server{l.Listen, list.Handler()})
+		all = append(all, server{"instance-list", l.Listen, list.Handler()})
 	}
 	for _, p := range s.Weights {
-		all = append(all, server{p.Listen, (&weightstore.Store{}).Handler()})
+		all = append(all, server{p.Name, p.Listen, (&weightstore.Store{}).Handler()})
 	}
 	for _, p := range s.Stores {
-		all = append(all, server{p.Listen, (&kvstore.Store{}).Handler()})
+		all = append(all, server{p.Name, p.Listen, (&kvstore.Store{}).Handler()})
 	}
 	for _, p := range s.Services {
-		all = append(all, server{p.Listen, (&service.Service{Name: p.Name}).Handler()})
+		all = append(all, server{p.Name, p.Listen, (&service.Service{Name: p.Name}).Handler()})
 	}
 	for _, e := range s.Engines {
 		t := engine.Timing{
 			Token: e.Token, Prefill: e.Prefill, WarmUp: e.WarmUp,
 			CacheBlocks: e.Cache, ColdLimit: e.ColdLimit, WarmLimit: e.WarmLimit,
 		}
-		one := &engine.Engine{Name: e.Name, Model: e.Model, Version: e.Version, Fencing: e.Fencing, Timing: t}
-		all = append(all, server{e.Listen, one.Handler()})
+		one := &engine.Engine{Name: e.Name, Model: e.Model, Version: e.Version, Fencing: e.Fencing, Timing: t, Client: &http.Client{Transport: on(e.Name).Transport()}}
+		all = append(all, server{e.Name, e.Listen, one.Handler()})
 	}
 	return all
 }
