--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -15,6 +15,8 @@
 	downAfter = 1500 * time.Millisecond
 	// downWindow is the age up to which a report of an outage counts.
 	downWindow = 1500 * time.Millisecond
+	// downHolds is how long an outage is believed without looking again.
+	downHolds = 400 * time.Millisecond
 )
 
 // Verdict says how far the view of the configuration can be trusted.
@@ -110,18 +112,42 @@
 	return max(0, now.Sub(f.proof))
 }
 
-// Judge returns the verdict at a moment.
-func (f *Freshness) Judge(now time.Time, scope Scope) Verdict {
+// Judgement holds until when each reason to trust a view lasts. A process that
+// was paused finds both in the past. The zero value trusts nothing.
+type Judgement struct {
+	CurrentUntil, DownUntil time.Time
+}
+
+// Verdict returns the verdict at a moment.
+func (j Judgement) Verdict(now time.Time) Verdict {
 	switch {
-	case f.within(now, Limit):
+	case now.Before(j.CurrentUntil):
 		return Current
-	case f.allDown(now, scope):
+	case now.Before(j.DownUntil):
 		return LogDown
 	default:
 		return CutOff
 	}
 }
 
+// Judge weighs the proofs and reports. An outage that is believed already
+// counts when the newest proof runs out, so there is no gap between the two.
+func (f *Freshness) Judge(now time.Time, scope Scope) Judgement {
+	var j Judgement
+	if !f.proof.IsZero() {
+		j.CurrentUntil = f.proof.Add(Limit)
+	}
+	if f.allDown(now, scope) {
+		j.DownUntil = now.Add(downHolds)
+	}
+	return j
+}
+
+// Doubtful reports whether the log seems down here but not yet to all others.
+func (f *Freshness) Doubtful(now time.Time, scope Scope) bool {
+	return f.down(now) && !f.allDown(now, scope)
+}
+
 // Report returns what to tell a peer.
 func (f *Freshness) Report(now time.Time, next uint64, scope Scope) Report {
 	return Report{
@@ -133,14 +159,6 @@
 	}
 }
 
-// CurrentUntil returns the moment up to which the newest proof holds.
-func (f *Freshness) CurrentUntil() time.Time {
-	if f.proof.IsZero() {
-		return time.Time{}
-	}
-	return f.proof.Add(Limit)
-}
-
 func (f *Freshness) within(now time.Time, limit time.Duration) bool {
 	age := f.ProofAge(now)
 	return age >= 0 && age <= limit
--- a/core/order/record.go
+++ b/core/order/record.go
@@ -129,6 +129,9 @@
 	Done Verdict = "done"
 	// Running means that another request holds the claim and its outcome is not known.
 	Running Verdict = "running"
+	// Undecided means that there was no verdict in time. The asker must not run
+	// the order, and can't tell whether another request did.
+	Undecided Verdict = "undecided"
 	// LogUnavailable means that the claim could not be recorded.
 	LogUnavailable Verdict = "log-unavailable"
 	// KeyTooOld means that records of the key may have expired.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -38,10 +38,18 @@
 	until time.Time
 }
 
-// Grant leases a part of the limits to an instance, in place of its earlier
+// Share is the part of the limits that an instance may use while nobody can
+// tell what the others use: half of an even share, and at least one slot, so
+// that an account is served at every instance while its owner changes.
+func Share(limit Lease, members int) Lease {
+	members = max(members, 1)
+	return Lease{Rate: limit.Rate / float64(2*members), Slots: max(1, limit.Slots/(2*members))}
+}
+
+// Grant leases a part of the limits to one of the members, in place of its earlier
 // lease. When the wants exceed a limit, each gets a part in proportion, as far
 // as the other leases have left it.
-func (q *Quota) Grant(now time.Time, member string, limit Lease, want Want) Lease {
+func (q *Quota) Grant(now time.Time, member string, members int, limit Lease, want Want) Lease {
 	if q.leases == nil {
 		q.leases = map[string]leased{}
 	}
@@ -70,7 +78,8 @@
 		got.Slots = min(got.Slots, fair)
 	}
 	if now.Before(q.NotBefore) {
-		got = Lease{}
+		share := Share(limit, members)
+		got = Lease{Rate: min(want.Rate, share.Rate), Slots: min(want.Slots, share.Slots)}
 	}
 	got.Rate, got.Slots = max(got.Rate, 0), max(got.Slots, want.Held)
 	q.leases[member] = leased{got, want, now.Add(LeaseTime)}
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -64,6 +64,9 @@
 		return unavailable
 	}
 	for range claimTries {
+		if deadline, ok := ctx.Deadline(); ok {
+			ask.Wait = min(ask.Wait, time.Until(deadline))
+		}
 		owner, ok := d.owner(ask.Key)
 		if !ok {
 			return unavailable
@@ -73,12 +76,12 @@
 			return rep
 		}
 		if ctx.Err() != nil {
-			return unavailable
+			break
 		}
 		d.Follow.Failed(time.Now(), owner.Name)
 		pause(ctx, retryPause)
 	}
-	return unavailable
+	return message.OrderReply{Verdict: order.Undecided}
 }
 
 // Settle reports the end of a claim in the background until it is recorded.
@@ -122,7 +125,9 @@
 	case message.OrderAsk:
 		ctx, cancel := context.WithTimeout(ctx, m.Wait)
 		defer cancel()
-		ev := order.Asked{Key: m.Key, Claim: m.Claim, KeyTime: m.KeyTime, Deadline: time.Now().Add(m.Wait)}
+		// The register answers a little before the asker stops waiting.
+		deadline := time.Now().Add(m.Wait - 4*tickInterval)
+		ev := order.Asked{Key: m.Key, Claim: m.Claim, KeyTime: m.KeyTime, Deadline: deadline}
 		rep := d.runner(m.Key).ask(ctx, ev, m.Claim)
 		return message.OrderReply{Verdict: rep.Verdict, Answer: rep.Answer}, true, nil
 	case message.OrderEnd:
--- a/entry/desk/runner.go
+++ b/entry/desk/runner.go
@@ -66,7 +66,7 @@
 	case rep := <-in.reply:
 		return rep
 	case <-ctx.Done():
-		return unavailable
+		return order.Reply{Claim: claim, Verdict: order.Undecided}
 	}
 }
 
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -28,13 +28,16 @@
 // Intervals and limits of the background work.
 const (
 	heartbeatInterval = 500 * time.Millisecond
-	heartbeatLimit    = 400 * time.Millisecond
-	tickInterval      = time.Second
-	judgeInterval     = 100 * time.Millisecond
-	listInterval      = time.Second
-	readWait          = time.Second
-	callLimit         = 1500 * time.Millisecond
-	backoff           = 250 * time.Millisecond
+	// doubtInterval is between heartbeats while it is not clear whether the log
+	// is down for all.
+	doubtInterval  = 100 * time.Millisecond
+	heartbeatLimit = 400 * time.Millisecond
+	tickInterval   = time.Second
+	judgeInterval  = 100 * time.Millisecond
+	listInterval   = time.Second
+	readWait       = time.Second
+	callLimit      = 1500 * time.Millisecond
+	backoff        = 250 * time.Millisecond
 	// relayStale is the age of the proof from which an instance that is no
 	// reader turns to the log itself.
 	relayStale = 1200 * time.Millisecond
@@ -54,7 +57,7 @@
 	Logger log.Logger
 
 	view      atomic.Pointer[view.View]
-	judgement atomic.Pointer[judgement]
+	judgement atomic.Pointer[freshness.Judgement]
 	leaving   atomic.Bool
 
 	mu         sync.Mutex
@@ -71,11 +74,8 @@
 	retention  time.Duration
 	lastSnap   time.Time
 	fetching   bool
-}
-
-type judgement struct {
-	verdict freshness.Verdict
-	until   time.Time
+	// lastVerdict is the one that was logged last.
+	lastVerdict freshness.Verdict
 }
 
 // View returns the configuration in force; it is empty before the first one.
@@ -90,10 +90,10 @@
 // reached before a pause of the process is not trusted after it.
 func (f *Follower) Verdict(now time.Time) freshness.Verdict {
 	j := f.judgement.Load()
-	if j == nil || !now.Before(j.until) {
+	if j == nil {
 		return freshness.CutOff
 	}
-	return j.verdict
+	return j.Verdict(now)
 }
 
 // MayTakeWork reports whether new work may be started on the view.
@@ -162,6 +162,7 @@
 	f.tickID = fmt.Sprintf("%s-%d", f.Self.Name, time.Now().UnixNano())
 	f.lastSnap = time.Now()
 	f.fresh.Started = time.Now()
+	f.lastVerdict = freshness.CutOff
 	f.Mesh.Handle(f.handle)
 }
 
@@ -361,7 +362,7 @@
 }
 
 func (f *Follower) heartbeatLoop(ctx context.Context) {
-	for pause(ctx, heartbeatInterval) {
+	for pause(ctx, f.heartbeatPause(time.Now())) {
 		f.mu.Lock()
 		near := f.roster.Neighbours(time.Now())
 		f.mu.Unlock()
@@ -371,6 +372,15 @@
 	}
 }
 
+func (f *Follower) heartbeatPause(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fresh.Doubtful(now, f.roster.Scope(now)) {
+		return doubtInterval
+	}
+	return heartbeatInterval
+}
+
 func (f *Follower) heartbeat(ctx context.Context, m roster.Member) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
 	defer cancel()
@@ -456,17 +466,12 @@
 // judge renews the verdict. An outage is believed only for as long as the
 // reports behind it are renewed. The caller holds mu.
 func (f *Follower) judge(now time.Time) {
-	j := &judgement{verdict: f.fresh.Judge(now, f.roster.Scope(now))}
-	switch j.verdict {
-	case freshness.Current:
-		j.until = f.fresh.CurrentUntil()
-	case freshness.LogDown:
-		j.until = now.Add(4 * judgeInterval)
-	}
-	if old := f.judgement.Load(); old != nil && old.verdict != j.verdict {
-		_ = f.Logger.Log("msg", "The trust in the configuration changed.", "from", old.verdict, "to", j.verdict)
+	j := f.fresh.Judge(now, f.roster.Scope(now))
+	f.judgement.Store(&j)
+	if v := j.Verdict(now); v != f.lastVerdict {
+		_ = f.Logger.Log("msg", "The trust in the configuration changed.", "from", f.lastVerdict, "to", v)
+		f.lastVerdict = v
 	}
-	f.judgement.Store(j)
 }
 
 // snapshotLoop writes what is in force again before its records expire. One
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -130,6 +130,10 @@
 	case order.KeyTooOld:
 		return nil, refuse(r.call.id, http.StatusConflict, "key-too-old",
 			"the key's time is outside the time that orders can be checked for; this request was not run")
+	case order.Undecided:
+		r.gate.Desk.Settle(message.OrderEnd{Key: ask.Key, Claim: ask.Claim, NotRun: true})
+		return nil, refuse(r.call.id, http.StatusGatewayTimeout, "order-undecided",
+			"it could not be found out in time whether an order with this key was sent").state(attempt.Unknown).retry(retryLater)
 	case order.Full:
 		return nil, refuse(r.call.id, http.StatusServiceUnavailable, "orders-full", "too many orders are open").retry(retryLater)
 	default:
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -191,11 +191,14 @@
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	rep, err := mesh.Ask[message.QuotaReply](ctx, l.Mesh, owner, message.QuotaAsk{Account: a.Name, Want: lo.want(sent, a)})
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
 	if err != nil {
+		if now := time.Now(); !now.Before(lo.until) {
+			lo.lease, lo.until = quota.Share(leasable(a), len(l.Follow.Live(now))), now.Add(renewInterval)
+		}
 		return
 	}
-	lo.mu.Lock()
-	defer lo.mu.Unlock()
 	// The lease counts from before it was asked for, so that it ends here
 	// before it ends at the owner.
 	lo.lease, lo.until = rep.Lease, sent.Add(quota.LeaseTime)
@@ -214,11 +217,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.quota(now, m.Account)
+	return message.QuotaReply{Lease: q.Grant(now, from, len(l.Follow.Live(now)), leasable(a), m.Want)}, true, nil
+}
+
+// leasable returns the part of an account's limits that its owner leases.
+func leasable(a account.Account) quota.Lease {
 	limit := quota.Lease{Rate: a.Rate * (1 - reserve), Slots: a.Concurrent}
 	if a.Concurrent == 0 {
 		limit.Slots = math.MaxInt32
 	}
-	return message.QuotaReply{Lease: q.Grant(now, from, limit, m.Want)}, true, nil
+	return limit
 }
 
 // note counts a request for the measure of demand.
--- a/proof/deployment/deployment.go
+++ b/proof/deployment/deployment.go
@@ -34,6 +34,8 @@
 const (
 	readyLimit = 30 * time.Second
 	readyPause = 100 * time.Millisecond
+	// lingerLimit is longer than any deadline of a background call.
+	lingerLimit = 3 * time.Minute
 )
 
 // Deployment is a running example.
@@ -57,8 +59,8 @@
 }
 
 // Start runs the example in a directory and returns once the operators' intent
-// is in force on all instances.
-func Start(dir string, logger log.Logger) (*Deployment, error) {
+// is in force on all instances. A retention above 0 replaces that of the log.
+func Start(dir string, retention time.Duration, logger log.Logger) (*Deployment, error) {
 	d := &Deployment{Net: &memnet.Net{}, nodes: map[string]*running{}, logger: logger}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	transport := d.Net.Host("caller").Transport()
@@ -70,6 +72,9 @@
 	if err := settings.Load(filepath.Join(dir, "intent.yaml"), &d.Intent); err != nil {
 		return nil, fmt.Errorf("starting a deployment: %w", err)
 	}
+	if retention > 0 {
+		d.stage.Logs[0].Retention = retention
+	}
 	d.wg.Go(func() {
 		_ = d.stage.Run(d.ctx, func(name string) network.Network { return d.Net.Host(name) })
 	})
@@ -91,7 +96,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	r := &running{cfg, cancel, make(chan struct{})}
 	d.nodes[cfg.Name] = r
-	n := node.NewNode(cfg, d.Net.Host(cfg.Name), log.With(d.logger, "instance", cfg.Name))
+	n := node.NewNode(cfg, d.Net.Host(cfg.Name), log.With(d.logger, "at", log.TimestampFormat(time.Now, time.StampMilli), "instance", cfg.Name))
 	d.wg.Go(func() {
 		defer close(r.done)
 		if err := n.Run(ctx); err != nil {
@@ -119,6 +124,8 @@
 	d.cancel()
 	d.wg.Wait()
 	d.client.CloseIdleConnections()
+	// What still waits for a deadline of its own ends within this time.
+	time.Sleep(lingerLimit)
 }
 
 // Names lists the instances that run.
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -115,8 +115,10 @@
 
 func (b *bench) wait(args []string) []string { return <-b.background[args[1]] }
 
+// deploy EXAMPLE [retention=D]
 func (b *bench) deploy(args []string) []string {
-	d, err := deployment.Start("../examples/"+args[1], log.NewLogfmtLogger(log.NewSyncWriter(&b.logs)))
+	retention, _ := time.ParseDuration(options(args)["retention"])
+	d, err := deployment.Start("../examples/"+args[1], retention, log.NewLogfmtLogger(log.NewSyncWriter(&b.logs)))
 	b.d = d
 	if err != nil {
 		return []string{err.Error()}
