--- /dev/null
+++ b/cmd/cases_test.go
@@ -0,0 +1,65 @@
+package cmd
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the expected output anew")
+
+// binaries builds the programs into a directory and returns it.
+func binaries(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "./...")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the programs: %v\n%s", err, out)
+	}
+	return dir
+}
+
+// TestCases runs each directory of testdata/cases: the command in its file cmd
+// must print what its file expected has, and end with the exit code there.
+func TestCases(t *testing.T) {
+	bin := binaries(t)
+	dirs, err := filepath.Glob("testdata/cases/*")
+	if err != nil || len(dirs) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, dir := range dirs {
+		t.Run(filepath.Base(dir), func(t *testing.T) {
+			is := is.New(t)
+			line, err := os.ReadFile(filepath.Join(dir, "cmd"))
+			is.NoErr(err)
+			args := strings.Fields(string(line))
+			run := exec.Command(filepath.Join(bin, args[0]), args[1:]...)
+			run.Dir = dir
+			var out bytes.Buffer
+			run.Stdout, run.Stderr = &out, &out
+			code := 0
+			var exit *exec.ExitError
+			if err := run.Run(); errors.As(err, &exit) {
+				code = exit.ExitCode()
+			} else {
+				is.NoErr(err)
+			}
+			got := fmt.Sprintf("%sexit code %d\n", out.String(), code)
+			file := filepath.Join(dir, "expected")
+			if *update {
+				is.NoErr(os.WriteFile(file, []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -63,13 +63,12 @@
 }
 
 type leased struct {
-	slots, want int
-	until       time.Time
+	slots int
+	until time.Time
 }
 
-// Grant hands out tokens and replaces the instance's lease of slots. When the
-// wants exceed the slots, each gets a part in proportion, as far as the other
-// leases have left it.
+// Grant hands out tokens and replaces the instance's lease of slots, as far as
+// the other leases have left any.
 func (q *Quota) Grant(now time.Time, member string, members int, limit Limit, want Want) Lease {
 	got := Lease{Tokens: want.Tokens}
 	if limit.Rate > 0 {
@@ -85,7 +84,7 @@
 	if q.leases == nil {
 		q.leases = map[string]leased{}
 	}
-	q.leases[member] = leased{got.Slots, want.Slots, now.Add(LeaseTime)}
+	q.leases[member] = leased{got.Slots, now.Add(LeaseTime)}
 	return got
 }
 
@@ -93,22 +92,16 @@
 	if limit.Slots == 0 {
 		return math.MaxInt32
 	}
-	taken, total := 0, want.Slots
+	taken := 0
 	for name, l := range q.leases {
 		switch {
 		case !now.Before(l.until):
 			delete(q.leases, name)
 		case name != member:
 			taken += l.slots
-			total += l.want
 		}
 	}
-	got := min(want.Slots, limit.Slots-taken)
-	if total > limit.Slots {
-		fair := (limit.Slots*want.Slots + total - 1) / total
-		got = min(got, fair)
-	}
-	return max(got, 0)
+	return max(0, min(want.Slots, limit.Slots-taken))
 }
 
 // Bucket is a token bucket. The zero value is full.
--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -2,7 +2,6 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -66,7 +65,7 @@
 		return s, fmt.Errorf("settings of the entry instance: %w", err)
 	}
 	if s.Listen == s.PeerListen {
-		return s, errors.New("settings of the entry instance: listen and peer-listen must differ")
+		return s, fmt.Errorf("settings of the entry instance: %s: peer-listen: is the same as listen; allowed: another address", file)
 	}
 	return s, nil
 }
--- a/operator/console/console.go
+++ b/operator/console/console.go
@@ -16,8 +16,11 @@
 	"crocusfold.dev/platform/settings"
 )
 
-// callLimit bounds one call; a confirmation waits for its rollout.
-const callLimit = 15 * time.Second
+// Limits of one call; a confirmation waits for its rollout.
+const (
+	readLimit    = 3 * time.Second
+	confirmLimit = 15 * time.Second
+)
 
 // maxAnswer bounds one answer, in bytes.
 const maxAnswer = 64 << 20
@@ -60,12 +63,14 @@
 // through another instance never applies it twice.
 func (c *Console) call(method, path string, body []byte, out any) error {
 	var errs []error
-	for _, e := range c.Entries {
-		err := c.callOne(e, method, path, body, out)
+	for range c.Entries {
+		err := c.callOne(c.Entries[0], method, path, body, out)
 		if err == nil || errors.Is(err, ErrRefused) {
 			return err
 		}
 		errs = append(errs, err)
+		// The instance that failed is asked last from now on.
+		c.Entries = append(c.Entries[1:], c.Entries[0])
 	}
 	return fmt.Errorf("no entry instance answered: %w", errors.Join(errs...))
 }
@@ -84,7 +89,11 @@
 }
 
 func (c *Console) callOne(to netip.AddrPort, method, path string, body []byte, out any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	limit := readLimit
+	if method == http.MethodPost {
+		limit = confirmLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+path, bytes.NewReader(body))
 	if err != nil {
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -18,7 +18,7 @@
 
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/proof/deployment"
-	"crocusfold.dev/proof/script"
+	"crocusfold.dev/script"
 	"crocusfold.dev/standin/engine"
 	"crocusfold.dev/standin/service"
 )
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -49,12 +49,12 @@
 	defer e.leave(life)
 	w.Header().Set("X-Incarnation", e.currentIncarnation())
 	w.Header().Set("X-Weight-Version", e.currentVersion())
-	if want := r.Header.Get("X-Expected-Version"); want != "" && want != e.currentVersion() {
+	f := e.faults.Get()
+	if want := r.Header.Get("X-Expected-Version"); want != "" && want != e.currentVersion() && !f.IgnoreVersion {
 		w.Header().Set("X-Run", "not-run")
 		http.Error(w, "another weight version is loaded", http.StatusConflict)
 		return
 	}
-	f := e.faults.Get()
 	if f.CrashWord != "" && strings.Contains(req.text(), f.CrashWord) {
 		e.crash()
 	}
@@ -169,6 +169,9 @@
 	}
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
 	text, version := req.text(), e.currentVersion()
+	if f.Crossed {
+		text = "another prompt"
+	}
 	for n := from; n < total; n++ {
 		if f.SilentEnd > 0 && n >= f.SilentEnd {
 			return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -27,8 +27,10 @@
 	LoadLagMillis int `json:"load-lag-millis,omitempty"`
 	// EventGap drops every second cache event.
 	EventGap bool `json:"event-gap,omitempty"`
-	// Crossed answers with another request's id.
+	// Crossed gives the answer, and the id, of another request.
 	Crossed bool `json:"crossed,omitempty"`
+	// IgnoreVersion runs requests that expect another weight version.
+	IgnoreVersion bool `json:"ignore-version,omitempty"`
 }
 
 // Timing and sizes of the engine. Zero fields take the defaults.
