--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,25 +5,27 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Rates that the estimates use until an upstream reports its own.
+// Rates that the estimates use.
 const (
-	// DefaultPrefill is the time to compute one block of context.
-	DefaultPrefill = 40 * time.Millisecond
-	// DefaultImport is the time to import one block over an idle link.
-	DefaultImport = 8 * time.Millisecond
-	// slotTime is the expected wait for each request ahead in a full batch.
+	// prefillTime is the time to compute one block of context.
+	prefillTime = 40 * time.Millisecond
+	// importTime is the time to import one block over an idle link.
+	importTime = 8 * time.Millisecond
+	// slotTime is the expected wait at a full batch.
 	slotTime = 60 * time.Millisecond
 	// homeBonus is taken off the estimate of the replica that a session returns
 	// to, so that equal estimates don't scatter its context.
 	homeBonus = 5 * time.Millisecond
 )
 
+// Width is the number of choices that a ranking returns at most.
+const Width = 8
+
 // Source says where a request's context comes from.
 type Source string
 
@@ -36,16 +38,13 @@
 
 // Candidate is an upstream that may run the request.
 type Candidate struct {
-	Name       string
-	DataCentre string
+	Name string
 	// Running and Limit are in requests at once.
 	Running, Limit int
 	// Held is the number of the prompt's blocks believed to be in its cache.
 	Held int
 	// Distance is the one-way delay to the upstream.
 	Distance time.Duration
-	// NeedsPermit is true for an upstream that is not known to be warm.
-	NeedsPermit bool
 }
 
 // Request is what placement needs to know of a prompt.
@@ -56,18 +55,28 @@
 	Blocks int
 	// Stored is the number of leading blocks that a store holds.
 	Stored int
-	// ImportTime is the time to import one block over the link as loaded now;
-	// 0 means DefaultImport.
-	ImportTime time.Duration
+	// Link multiplies the time of an import by the load of the link; 0 means 1.
+	Link float64
 }
 
 // Choice is a candidate with its estimate, as shown by explain.
 type Choice struct {
 	Upstream string        `json:"upstream"`
 	Source   Source        `json:"source"`
-	Blocks   int           `json:"blocks"`
 	Estimate time.Duration `json:"estimate"`
-	Reason   string        `json:"reason"`
+	// Blocks is the number of blocks that are not recomputed, of Of.
+	Blocks  int `json:"blocks"`
+	Of      int `json:"of"`
+	Held    int `json:"held"`
+	Stored  int `json:"stored"`
+	Running int `json:"running"`
+	Limit   int `json:"limit"`
+}
+
+// String explains the estimate.
+func (c Choice) String() string {
+	return fmt.Sprintf("%-14s %-10s %8s  %d of %d blocks held, %d stored, %d of %d running",
+		c.Upstream, c.Source, c.Estimate, c.Held, c.Of, c.Stored, c.Running, c.Limit)
 }
 
 // Placement ranks candidates. The zero value weighs by time alone.
@@ -77,71 +86,116 @@
 	RecomputeWeight time.Duration
 }
 
-// Rank returns the candidates with room, best first.
-func (p Placement) Rank(req Request, all []Candidate) []Choice {
-	home := -1
-	if homes := Homes(req.Session, all, 1); len(homes) > 0 {
-		home = homes[0]
-	}
-	ranked := make([]Choice, 0, len(all))
-	for i, c := range all {
+// Rank returns up to Width candidates with room, best first, in out, which is
+// overwritten.
+func (p Placement) Rank(req Request, all []Candidate, out []Choice) []Choice {
+	out = out[:0]
+	home := p.home(req.Session, all)
+	for i := range all {
+		c := &all[i]
 		if c.Running >= c.Limit {
 			continue
 		}
-		ch := p.estimate(req, c)
+		source, blocks, estimate := p.estimate(req, c)
 		if i == home {
-			ch.Estimate -= homeBonus
+			estimate -= homeBonus
+		}
+		// A full choice is made only of those that get into the ranking.
+		if len(out) == Width && estimate >= out[Width-1].Estimate {
+			continue
 		}
-		ranked = append(ranked, ch)
+		out = insert(out, Choice{
+			Upstream: c.Name, Source: source, Estimate: estimate, Blocks: blocks, Of: req.Blocks,
+			Held: c.Held, Stored: req.Stored, Running: c.Running, Limit: c.Limit,
+		})
 	}
-	sort.SliceStable(ranked, func(i, j int) bool { return ranked[i].Estimate < ranked[j].Estimate })
-	return ranked
+	return out
 }
 
-func (p Placement) estimate(req Request, c Candidate) Choice {
-	importTime := req.ImportTime
-	if importTime == 0 {
-		importTime = DefaultImport
+// home returns the index of the replica that a session returns to first, or -1.
+func (p Placement) home(session string, all []Candidate) int {
+	var buf [1]int
+	if homes := Homes(session, all, 1, buf[:0]); len(homes) > 0 {
+		return homes[0]
 	}
+	return -1
+}
+
+// insert keeps the best Width choices in order.
+func insert(out []Choice, ch Choice) []Choice {
+	if len(out) < Width {
+		out = append(out, ch)
+	}
+	i := len(out) - 1
+	for ; i > 0 && out[i-1].Estimate > ch.Estimate; i-- {
+		out[i] = out[i-1]
+	}
+	out[i] = ch
+	return out
+}
+
+// estimate returns the cheapest source of the context, the blocks that it
+// saves, and the time to the first token.
+func (p Placement) estimate(req Request, c *Candidate) (Source, int, time.Duration) {
 	held := min(c.Held, req.Blocks)
 	wait := 2*c.Distance + queueDelay(c)
-	ch := Choice{Upstream: c.Name, Source: Recompute}
-	rest := req.Blocks - held
+	source := Recompute
 	if held > 0 {
-		ch.Source, ch.Blocks = Reuse, held
+		source = Reuse
 	}
-	ch.Estimate = wait + p.cost(rest)
-	if req.Stored > held {
-		imported := wait + time.Duration(req.Stored-held)*importTime + p.cost(req.Blocks-req.Stored)
-		if imported < ch.Estimate {
-			ch.Source, ch.Blocks, ch.Estimate = Import, req.Stored, imported
-		}
+	best := wait + p.cost(req.Blocks-held)
+	if req.Stored <= held {
+		return source, held, best
+	}
+	link := max(req.Link, 1)
+	transfer := time.Duration(float64(req.Stored-held) * link * float64(importTime))
+	if imported := wait + transfer + p.cost(req.Blocks-req.Stored); imported < best {
+		return Import, req.Stored, imported
 	}
-	ch.Reason = fmt.Sprintf("%d of %d blocks held, %d stored, %d of %d running", held, req.Blocks, req.Stored, c.Running, c.Limit)
-	return ch
+	return source, held, best
 }
 
 func (p Placement) cost(blocks int) time.Duration {
-	return time.Duration(blocks) * (DefaultPrefill + p.RecomputeWeight)
+	return time.Duration(blocks) * (prefillTime + p.RecomputeWeight)
 }
 
 // queueDelay grows steeply as the batch fills, since load is known late.
-func queueDelay(c Candidate) time.Duration {
-	if c.Limit == 0 {
-		return 0
-	}
-	load := float64(c.Running) / float64(c.Limit)
+func queueDelay(c *Candidate) time.Duration {
+	load := float64(c.Running) / float64(max(c.Limit, 1))
 	return time.Duration(load * load * float64(slotTime))
 }
 
-// Homes returns the indexes of the n replicas that a session returns to first.
-func Homes(session string, all []Candidate, n int) []int {
-	order := make([]int, len(all))
-	scores := make([]uint64, len(all))
-	for i, c := range all {
-		order[i] = i
-		scores[i] = xxhash.Sum64String(session + "\x00" + c.Name)
+// maxHomes bounds the replicas that a session returns to.
+const maxHomes = 8
+
+// Homes returns the indexes of the n replicas that a session returns to, first
+// choice first, by rendezvous hashing. They are appended to out.
+func Homes(session string, all []Candidate, n int, out []int) []int {
+	key := xxhash.Sum64String(session)
+	var scores [maxHomes]uint64
+	n = min(n, maxHomes)
+	for i := range all {
+		s := mix(key ^ xxhash.Sum64String(all[i].Name))
+		if len(out) == n && s <= scores[n-1] {
+			continue
+		}
+		if len(out) < n {
+			out = append(out, 0)
+		}
+		j := len(out) - 1
+		for ; j > 0 && scores[j-1] < s; j-- {
+			scores[j], out[j] = scores[j-1], out[j-1]
+		}
+		scores[j], out[j] = s, i
 	}
-	sort.Slice(order, func(i, j int) bool { return scores[order[i]] > scores[order[j]] })
-	return order[:min(n, len(order))]
+	return out
+}
+
+// mix spreads the bits of a combined hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,6 +24,8 @@
 	Name       string         `json:"name"`
 	Address    netip.AddrPort `json:"address"`
 	DataCentre string         `json:"data-centre"`
+	// Region groups data centres; loads are shared within it.
+	Region string `json:"region,omitempty"`
 	// Leaving is true while the instance finishes its running work.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -99,6 +101,17 @@
 	return live
 }
 
+// Near returns the live members of this instance's region, without itself.
+func (r *Roster) Near(now time.Time) []Member {
+	var near []Member
+	for _, m := range r.Live(now) {
+		if m.Region == r.Self.Region && m.Name != r.Self.Name {
+			near = append(near, m)
+		}
+	}
+	return near
+}
+
 // Readers returns the names of the members of a data centre that read the log.
 func (r *Roster) Readers(now time.Time, dataCentre string) []string {
 	var names []string
--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -15,6 +15,9 @@
 	// Name is unique among the instances.
 	Name       string `json:"name" required:"true"`
 	DataCentre string `json:"data-centre" required:"true"`
+	// Region groups data centres; instances of a region share the loads of its
+	// upstreams. It may be left out where there is one region.
+	Region string `json:"region"`
 	// Listen is where callers and operators connect.
 	Listen netip.AddrPort `json:"listen" required:"true"`
 	// PeerListen is where the other instances connect.
@@ -72,7 +75,7 @@
 
 // Member returns the instance as its peers know it.
 func (s Settings) Member() roster.Member {
-	return roster.Member{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre}
+	return roster.Member{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre, Region: s.Region}
 }
 
 // DistanceTo returns the one-way delay to a data centre; 0 within the own one.
--- a/entry/desk/runner.go
+++ b/entry/desk/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,6 +31,8 @@
 	events chan input
 	// ready is closed once the log's retention is known.
 	ready chan struct{}
+	// failing is true from a failed append to the next that works.
+	failing atomic.Bool
 }
 
 // input is an event with the channel for its reply, if it has one.
@@ -126,8 +129,8 @@
 	defer cancel()
 	_, err := r.stream.Append(callCtx, raw...)
 	done := order.AppendDone{Failed: errors.Is(err, logstream.ErrFailed), Lost: errors.Is(err, logstream.ErrLost)}
-	if err != nil {
-		_ = r.logger.Log("msg", "Appending claims failed.", "stream", r.stream.Name, "err", err)
+	if failed := err != nil; r.failing.Swap(failed) != failed {
+		_ = r.logger.Log("msg", "The claims' stream changed.", "stream", r.stream.Name, "failing", failed, "err", err)
 	}
 	r.send(ctx, done)
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -54,8 +54,13 @@
 	// states is replaced as a whole when upstreams come or go.
 	states atomic.Pointer[map[string]*state]
 
+	// own is the word of this instance on the upstreams that it sponsors.
+	own  word
+	news news
+
 	mu    sync.Mutex
 	ramps map[string]*sponsored
+	words map[string]*word
 }
 
 // state is what the request path reads of one upstream.
@@ -65,9 +70,10 @@
 	downTo   atomic.Pointer[time.Time]
 }
 
+// reported is a load with the sponsor whose word it is.
 type reported struct {
 	message.Load
-	at time.Time
+	by *word
 }
 
 type sponsored struct {
@@ -89,6 +95,7 @@
 // Attach prepares the fleet to answer peers. It comes before Run.
 func (f *Fleet) Attach() {
 	f.ramps = map[string]*sponsored{}
+	f.words = map[string]*word{}
 	f.Mesh.Handle(f.handle)
 }
 
@@ -128,8 +135,10 @@
 	}
 	wg.Wait()
 	f.dropOthers(mine)
-	f.takeLoads(time.Now(), loads)
-	f.share(ctx, live, message.Loads{Loads: loads})
+	now := time.Now()
+	f.own.hear(now)
+	f.takeLoads(&f.own, loads)
+	f.share(ctx, now, loads)
 }
 
 // Sponsor returns the instance that gives out permits for an upstream: one of
@@ -222,28 +231,6 @@
 	return sp
 }
 
-func (f *Fleet) share(ctx context.Context, live []roster.Member, loads message.Loads) {
-	if len(loads.Loads) == 0 {
-		return
-	}
-	for _, m := range live {
-		if m.Name == f.Self.Name {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, pollLimit)
-			defer cancel()
-			_, _ = f.Mesh.Call(ctx, m, loads)
-		}()
-	}
-}
-
-func (f *Fleet) takeLoads(now time.Time, loads []message.Load) {
-	for _, l := range loads {
-		f.state(l.Upstream).load.Store(&reported{l, now})
-	}
-}
-
 // state returns the entry of an upstream, adding it if it is new.
 func (f *Fleet) state(name string) *state {
 	if all := f.states.Load(); all != nil {
@@ -278,7 +265,7 @@
 		out.Down = now.Before(*d)
 	}
 	rep := st.load.Load()
-	if rep == nil || now.Sub(rep.at) > loadFresh {
+	if rep == nil || !rep.by.fresh(now) {
 		return out
 	}
 	out.Running = max(out.Running, rep.Running)
@@ -349,11 +336,11 @@
 	f.state(u.Name).load.Store(nil)
 }
 
-func (f *Fleet) handle(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
+func (f *Fleet) handle(_ context.Context, from string, msg message.Message) (message.Message, bool, error) {
 	now := time.Now()
 	switch m := msg.(type) {
 	case message.Loads:
-		f.takeLoads(now, m.Loads)
+		f.takeNews(now, from, m)
 		return message.Ack{}, true, nil
 	case message.PermitAsk:
 		return message.PermitReply{OK: f.permit(now, m)}, true, nil
--- /dev/null
+++ b/entry/fleet/share.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"crocusfold.dev/entry/message"
+)
+
+// Times of sharing.
+const (
+	// quietInterval is between messages while nothing changes; they keep what
+	// was said before fresh.
+	quietInterval = time.Second
+	// fullInterval is between messages with all upstreams, for instances that
+	// came in between or missed a message.
+	fullInterval = 5 * time.Second
+)
+
+// word is what an instance has heard of one sponsor, and when.
+type word struct {
+	at    atomic.Pointer[time.Time]
+	start int64
+	seq   uint64
+	whole bool
+}
+
+func (w *word) hear(now time.Time) { w.at.Store(&now) }
+
+func (w *word) fresh(now time.Time) bool {
+	at := w.at.Load()
+	return at != nil && now.Sub(*at) <= loadFresh
+}
+
+// news is what a sponsor has told its peers. Only round uses it.
+type news struct {
+	start    int64
+	seq      uint64
+	told     map[string]message.Load
+	lastSent time.Time
+	lastFull time.Time
+}
+
+// share tells the peers of the region which loads changed, and now and then all.
+func (f *Fleet) share(ctx context.Context, now time.Time, loads []message.Load) {
+	n := &f.news
+	full := now.Sub(n.lastFull) >= fullInterval
+	changed := n.changes(loads)
+	if !full && len(changed) == 0 && now.Sub(n.lastSent) < quietInterval {
+		return
+	}
+	if n.start == 0 {
+		n.start = now.UnixNano()
+	}
+	n.seq++
+	n.lastSent = now
+	msg := message.Loads{Start: n.start, Seq: n.seq, Full: full, Loads: changed}
+	if full {
+		n.lastFull = now
+		msg.Loads = loads
+	}
+	for _, m := range f.Follow.Near(now) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, pollLimit)
+			defer cancel()
+			_, _ = f.Mesh.Call(ctx, m, msg)
+		}()
+	}
+}
+
+// changes returns the loads that differ from what was told. An upstream that
+// gave no report is told as not warm.
+func (n *news) changes(loads []message.Load) []message.Load {
+	next := make(map[string]message.Load, len(loads))
+	var changed []message.Load
+	for _, l := range loads {
+		next[l.Upstream] = l
+		if n.told[l.Upstream] != l {
+			changed = append(changed, l)
+		}
+	}
+	for name, old := range n.told {
+		if _, ok := next[name]; !ok && old.Warm {
+			old.Warm = false
+			changed = append(changed, old)
+			next[name] = old
+		}
+	}
+	n.told = next
+	return changed
+}
+
+// takeNews takes a sponsor's message. After a gap nothing of the sponsor's word
+// is kept fresh until a message with all upstreams.
+func (f *Fleet) takeNews(now time.Time, from string, m message.Loads) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.words[from]
+	if !ok {
+		w = &word{}
+		f.words[from] = w
+	}
+	next := m.Start == w.start && m.Seq == w.seq+1
+	if m.Start < w.start || (m.Start == w.start && m.Seq <= w.seq) {
+		return
+	}
+	w.whole = m.Full || (next && w.whole)
+	w.start, w.seq = m.Start, m.Seq
+	if !w.whole {
+		return
+	}
+	f.takeLoads(w, m.Loads)
+	w.hear(now)
+}
+
+func (f *Fleet) takeLoads(w *word, loads []message.Load) {
+	for _, l := range loads {
+		f.state(l.Upstream).load.Store(&reported{l, w})
+	}
+}
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -127,6 +127,13 @@
 	return f.roster.Live(now)
 }
 
+// Near returns the other live members of this instance's region.
+func (f *Follower) Near(now time.Time) []roster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Near(now)
+}
+
 // Peers returns the other listed members.
 func (f *Follower) Peers() []roster.Member {
 	f.mu.Lock()
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -188,15 +188,14 @@
 		}
 		_, limit := u.Limits()
 		all = append(all, placement.Candidate{
-			Name: u.Name, DataCentre: u.DataCentre, Running: st.Running, Limit: limit,
-			Distance: g.Settings.DistanceTo(u.DataCentre), NeedsPermit: !st.Warm,
+			Name: u.Name, Running: st.Running, Limit: limit, Distance: g.Settings.DistanceTo(u.DataCentre),
 		})
 	}
 	req := placement.Request{Session: run.session, Blocks: len(run.keys), Stored: len(run.stored.Blocks)}
 	if len(run.keys) > 0 {
 		g.fillHeld(ctx, run.view, req.Session, run.keys, all)
 	}
-	return g.placing.Rank(req, all), untried
+	return g.placing.Rank(req, all, nil), untried
 }
 
 // askedForHeld is how many replicas a session is looked for at.
@@ -204,7 +203,7 @@
 
 // fillHeld asks the sponsors of the replicas that a session would return to.
 func (g *Gate) fillHeld(ctx context.Context, v *view.View, session string, keys []block.Key, all []placement.Candidate) {
-	homes := placement.Homes(session, all, askedForHeld)
+	homes := placement.Homes(session, all, askedForHeld, nil)
 	answers := make(chan int, len(homes))
 	for _, i := range homes {
 		go func() {
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -112,6 +112,13 @@
 
 // Loads shares what a sponsor knows of its upstreams; answered by Ack.
 type Loads struct {
+	// Start and Seq number the messages of one run of the sponsor. A message
+	// that is not Full counts only right after the one before it.
+	Start int64  `json:"start"`
+	Seq   uint64 `json:"seq"`
+	// Full is true if Loads has all upstreams of the sponsor, not only those
+	// that changed.
+	Full  bool   `json:"full"`
 	Loads []Load `json:"loads"`
 }
 
--- a/operator/verb/explain.go
+++ b/operator/verb/explain.go
@@ -32,7 +32,7 @@
 	for i, at := range x.Attempts {
 		e.tool.printf("attempt %d: %s (%s)\n", i+1, at.Chosen, at.Result)
 		for _, ch := range at.Choices {
-			e.tool.printf("  %-14s %-10s %8s  %s\n", ch.Upstream, ch.Source, ch.Estimate, ch.Reason)
+			e.tool.printf("  %s\n", ch)
 		}
 	}
 	e.tool.printf("outcome: %s, run: %s, first token after %s\n", x.Outcome, x.Run, x.FirstToken)
