Check only what a change touches, and measure the slopes of control

Ruled out: skipping the check for drains, which would let a drain of nothing in. Change: a ledger keeps counts of what objects offer and need; crocus-measure prints each quantity at three sizes with the line through them.

--- /dev/null
+++ b/cmd/crocus-measure/main.go
@@ -0,0 +1,44 @@
+// Command crocus-measure measures the slopes behind docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"crocusfold.dev/measure/probe"
+)
+
+const usage = `Measures what the control of an instance costs, each quantity at
+several sizes with a line through the values. It takes some seconds and uses
+one processor and loopback only.
+
+  crocus-measure
+  crocus-measure --only order`
+
+type options struct {
+	Only string `long:"only" value-name:"TEXT" description:"measure only what has this in its name"`
+}
+
+func main() {
+	var opts options
+	parser := flags.NewNamedParser("crocus-measure", flags.Default)
+	parser.LongDescription = usage
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintln(os.Stderr, "crocus-measure:", err)
+		os.Exit(1)
+	}
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	for _, p := range probe.All {
+		if strings.Contains(p.Name, opts.Only) {
+			fmt.Println(p.Run())
+		}
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -30,6 +30,7 @@
 	objects  map[string]change.Object
 	outcomes []change.Outcome
 	seen     map[string]int
+	refs     references
 	// pending holds changes read after a start in the middle of the stream,
 	// until a snapshot says what came before them.
 	pending      []pendingRecord
@@ -155,8 +156,10 @@
 	l.next = snap.Next
 	l.changes++
 	l.objects = make(map[string]change.Object, len(snap.Objects))
+	l.refs = references{}
 	for _, o := range snap.Objects {
 		l.objects[o.Key] = o
+		l.refs.add(o.Key, o.Value, 1)
 	}
 	l.outcomes = slices.Clone(snap.Outcomes)
 	l.seen = make(map[string]int, len(l.outcomes))
@@ -228,7 +231,7 @@
 	}
 	if detail := l.conflict(c); detail != "" {
 		out.Verdict, out.Detail = change.LostRace, detail
-	} else if err := l.invalid(c); err != nil {
+	} else if err := l.validate(c); err != nil {
 		out.Verdict, out.Detail = change.Invalid, err.Error()
 	}
 	if out.Verdict == change.Accepted {
@@ -249,28 +252,80 @@
 
 // invalid checks the intent that the change would lead to. Checking again at
 // this point matters because other changes came in after the plan was made.
-func (l *Ledger) invalid(c change.Change) error {
-	next := map[string]change.Object{}
-	for k, o := range l.objects {
-		next[k] = o
-	}
+// Only what the change touches is looked at, so the cost does not grow with the
+// intent. The index of references is left as if the change had been made.
+func (l *Ledger) invalid(c change.Change) (indexed bool, err error) {
 	for _, s := range c.Steps {
 		if err := checkKey(s); err != nil {
-			return err
+			return false, err
+		}
+		if err := checkValue(s.Value); err != nil {
+			return false, err
 		}
-		next[s.Key] = change.Object{Key: s.Key, Value: s.Value}
 	}
-	all := make([]change.Object, 0, len(next))
-	for _, o := range next {
-		all = append(all, o)
+	if err := distinct(c.Steps); err != nil {
+		return false, err
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
-	if err := gather(all).Check(); err != nil {
-		return fmt.Errorf("result of the change: %w", err)
+	l.index(c, true)
+	for _, s := range c.Steps {
+		if err := l.refs.check(l.objects[s.Key].Value); err != nil {
+			return true, err
+		}
+		if err := l.refs.check(s.Value); err != nil {
+			return true, err
+		}
+	}
+	return true, nil
+}
+
+// validate checks a change and leaves the index as it was if it is invalid.
+func (l *Ledger) validate(c change.Change) error {
+	indexed, err := l.invalid(c)
+	if err != nil && indexed {
+		l.index(c, false)
+	}
+	return err
+}
+
+// index moves the references of a change's objects from the old values to the
+// new ones, or back.
+func (l *Ledger) index(c change.Change, forward bool) {
+	for _, s := range c.Steps {
+		old, value := l.objects[s.Key].Value, s.Value
+		if !forward {
+			old, value = value, old
+		}
+		l.refs.add(s.Key, old, -1)
+		l.refs.add(s.Key, value, 1)
+	}
+}
+
+func distinct(steps []change.Step) error {
+	seen := make(map[string]bool, len(steps))
+	for _, s := range steps {
+		if seen[s.Key] {
+			return fmt.Errorf("step %s is given twice", s.Key)
+		}
+		seen[s.Key] = true
 	}
 	return nil
 }
 
+func checkValue(v change.Value) error {
+	switch {
+	case v.Account != nil:
+		return v.Account.Check()
+	case v.Work != nil:
+		return v.Work.Check()
+	case v.Upstream != nil:
+		return v.Upstream.Check()
+	case v.Store != nil:
+		return v.Store.Check()
+	default:
+		return nil
+	}
+}
+
 // checkKey makes sure that a step's key names the object in its value.
 func checkKey(s change.Step) error {
 	want := s.Key
--- /dev/null
+++ b/measure/slope/slope.go
@@ -0,0 +1,58 @@
+// Package slope fits a line through measured values.
+package slope
+
+import "fmt"
+
+// Slope is a quantity measured at several sizes.
+type Slope struct {
+	Name string
+	// Per is what the size counts, Unit the unit of the values.
+	Per, Unit string
+	Sizes     []float64
+	Values    []float64
+}
+
+// Measure runs a measurement at each size.
+func Measure(name, per, unit string, sizes []float64, at func(n int) float64) Slope {
+	s := Slope{Name: name, Per: per, Unit: unit, Sizes: sizes}
+	for _, n := range sizes {
+		s.Values = append(s.Values, at(int(n)))
+	}
+	return s
+}
+
+// Fit returns the line of least squares and how much of the variance it explains.
+func (s Slope) Fit() (slope, intercept, r2 float64) {
+	n := float64(len(s.Sizes))
+	var sx, sy, sxx, sxy, syy float64
+	for i, x := range s.Sizes {
+		y := s.Values[i]
+		sx, sy, sxx, sxy, syy = sx+x, sy+y, sxx+x*x, sxy+x*y, syy+y*y
+	}
+	dx, dy, dxy := n*sxx-sx*sx, n*syy-sy*sy, n*sxy-sx*sy
+	if dx == 0 {
+		return 0, sy / n, 0
+	}
+	slope = dxy / dx
+	intercept = (sy - slope*sx) / n
+	if dy == 0 {
+		return slope, intercept, 1
+	}
+	return slope, intercept, dxy * dxy / (dx * dy)
+}
+
+// At returns the fitted value at a size.
+func (s Slope) At(size float64) float64 {
+	slope, intercept, _ := s.Fit()
+	return slope*size + intercept
+}
+
+// String prints the sizes, the values and the fit on one line.
+func (s Slope) String() string {
+	slope, intercept, r2 := s.Fit()
+	line := fmt.Sprintf("%-34s", s.Name)
+	for i := range s.Sizes {
+		line += fmt.Sprintf(" %8.0f:%-10.4g", s.Sizes[i], s.Values[i])
+	}
+	return line + fmt.Sprintf("  %.4g %s per %s + %.4g (r2 %.3f)", slope, s.Unit, s.Per, intercept, r2)
+}
