--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -52,7 +52,7 @@
 	Logger log.Logger
 
 	// states is replaced as a whole when upstreams come or go.
-	states atomic.Pointer[map[string]*state]
+	states atomic.Pointer[map[uint64]*state]
 
 	// own is the word of this instance on the upstreams that it sponsors.
 	own  word
@@ -88,8 +88,9 @@
 	// Warm is true if it was reported warm a short time ago.
 	Warm bool
 	// Down is true right after it refused a connection.
-	Down        bool
-	Incarnation string
+	Down bool
+	// Incarnation is the digest of the upstream's incarnation; 0 if not known.
+	Incarnation uint64
 }
 
 // Attach prepares the fleet to answer peers. It comes before Run.
@@ -187,18 +188,21 @@
 		_ = f.Logger.Log("msg", "An upstream has a new incarnation and is cold.", "upstream", u.Name, "incarnation", rep.Incarnation)
 	}
 	sp.ramp.Observe(now, rep.Incarnation, rep.Running)
-	return message.Load{Upstream: u.Name, Incarnation: rep.Incarnation, Running: rep.Running, Warm: sp.ramp.Warm(now)}, true
+	return message.Load{
+		Upstream: message.Digest(u.Name), Incarnation: message.Digest(rep.Incarnation),
+		Running: rep.Running, Warm: sp.ramp.Warm(now),
+	}, true
 }
 
-// Probe reports the upstream's incarnation now.
-func (f *Fleet) Probe(ctx context.Context, u upstream.Upstream) (string, error) {
+// Probe reports the digest of the upstream's incarnation now.
+func (f *Fleet) Probe(ctx context.Context, u upstream.Upstream) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollLimit)
 	defer cancel()
 	var rep struct {
 		Incarnation string `json:"incarnation"`
 	}
 	err := f.get(ctx, u, "/load", &rep)
-	return rep.Incarnation, err
+	return message.Digest(rep.Incarnation), err
 }
 
 func (f *Fleet) get(ctx context.Context, u upstream.Upstream, path string, out any) error {
@@ -232,7 +236,9 @@
 }
 
 // state returns the entry of an upstream, adding it if it is new.
-func (f *Fleet) state(name string) *state {
+func (f *Fleet) state(name string) *state { return f.stateOf(message.Digest(name)) }
+
+func (f *Fleet) stateOf(name uint64) *state {
 	if all := f.states.Load(); all != nil {
 		if st, ok := (*all)[name]; ok {
 			return st
@@ -240,7 +246,7 @@
 	}
 	for {
 		old := f.states.Load()
-		next := map[string]*state{}
+		next := map[uint64]*state{}
 		if old != nil {
 			if st, ok := (*old)[name]; ok {
 				return st
@@ -330,7 +336,7 @@
 // Seen takes the incarnation that came with an answer. A new one is cold.
 func (f *Fleet) Seen(now time.Time, u upstream.Upstream, incarnation string) {
 	rep := f.state(u.Name).load.Load()
-	if incarnation == "" || rep == nil || rep.Incarnation == incarnation {
+	if incarnation == "" || rep == nil || rep.Incarnation == message.Digest(incarnation) {
 		return
 	}
 	f.state(u.Name).load.Store(nil)
--- a/entry/fleet/share.go
+++ b/entry/fleet/share.go
@@ -40,7 +40,7 @@
 type news struct {
 	start    int64
 	seq      uint64
-	told     map[string]message.Load
+	told     map[uint64]message.Load
 	lastSent time.Time
 	lastFull time.Time
 }
@@ -78,7 +78,7 @@
 // one of them can't wait: an upstream that was warm and is not, or that gave no
 // report.
 func (n *news) changes(loads []message.Load) (changed []message.Load, urgent bool) {
-	reported := make(map[string]bool, len(loads))
+	reported := make(map[uint64]bool, len(loads))
 	for _, l := range loads {
 		reported[l.Upstream] = true
 		old, known := n.told[l.Upstream]
@@ -109,7 +109,7 @@
 // tell notes what the peers are told.
 func (n *news) tell(loads []message.Load) {
 	if n.told == nil {
-		n.told = map[string]message.Load{}
+		n.told = map[uint64]message.Load{}
 	}
 	for _, l := range loads {
 		n.told[l.Upstream] = l
@@ -141,6 +141,6 @@
 
 func (f *Fleet) takeLoads(w *word, loads []message.Load) {
 	for _, l := range loads {
-		f.state(l.Upstream).load.Store(&reported{l, w})
+		f.stateOf(l.Upstream).load.Store(&reported{l, w})
 	}
 }
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -14,6 +14,7 @@
 	"crocusfold.dev/core/upstream"
 	"crocusfold.dev/entry/engineclient"
 	"crocusfold.dev/entry/explain"
+	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
 )
 
@@ -41,7 +42,8 @@
 	stream   *engineclient.Stream
 	release  func()
 	isolated bool
-	started  string
+	// started is the digest of the incarnation that the request began on.
+	started uint64
 }
 
 // openSource sends the request to the best engine that takes it. It returns a
@@ -243,7 +245,7 @@
 		return err
 	}
 	if stream.Incarnation != "" {
-		s.started = stream.Incarnation
+		s.started = message.Digest(stream.Incarnation)
 		s.gate.Fleet.Seen(time.Now(), s.up, stream.Incarnation)
 	}
 	s.stream = stream
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/change"
 	"crocusfold.dev/core/freshness"
@@ -122,14 +124,20 @@
 	Loads []Load `json:"loads"`
 }
 
-// Load is the state of one upstream.
+// Load is the state of one upstream. Its names are hashed, since a sponsor
+// sends many loads to many instances.
 type Load struct {
-	Upstream    string `json:"upstream"`
-	Incarnation string `json:"incarnation"`
-	Running     int    `json:"running"`
-	Warm        bool   `json:"warm"`
+	_ struct{} `cbor:",toarray"`
+	// Upstream and Incarnation are made by Digest.
+	Upstream    uint64
+	Incarnation uint64
+	Running     int
+	Warm        bool
 }
 
+// Digest hashes a name for a Load.
+func Digest(name string) uint64 { return xxhash.Sum64String(name) }
+
 // QuotaAsk asks an account's owner for a lease; answered by QuotaReply.
 type QuotaAsk struct {
 	Account string     `json:"account"`
--- a/measure/probe/probe.go
+++ b/measure/probe/probe.go
@@ -49,6 +49,10 @@
 	{"order-record-bytes", orderBytes},
 	{"quota-time", quotaTime},
 	{"strike-memory", strikeMemory},
+	{"held-memory", heldMemory},
+	{"view-memory", viewMemory},
+	{"quota-bytes", quotaBytes},
+	{"order-call-bytes", orderCallBytes},
 	{"rank-time", rankTime},
 	{"block-time", blockTime},
 	{"call-time", callTime},
@@ -150,7 +154,9 @@
 	return slope.Measure("loads message", "upstream", "B", []float64{0, 8, 32}, func(n int) float64 {
 		m := message.Loads{Start: 1 << 60, Seq: 1 << 20}
 		for i := range n {
-			m.Loads = append(m.Loads, message.Load{Upstream: fmt.Sprintf("telar-%05d", i), Incarnation: "1796350729818187547", Running: 12, Warm: true})
+			m.Loads = append(m.Loads, message.Load{
+				Upstream: message.Digest(fmt.Sprint("telar-", i)), Incarnation: message.Digest(fmt.Sprint("life-", i)), Running: 12, Warm: true,
+			})
 		}
 		return size(m)
 	})
@@ -228,6 +234,45 @@
 	})
 }
 
+func heldMemory() slope.Slope {
+	return slope.Measure("held blocks memory", "block", "B", []float64{5000, 20000, 50000}, func(n int) float64 {
+		return heap(func() any {
+			held := map[block.Key]bool{}
+			for i := range n {
+				var k block.Key
+				copy(k[:], fmt.Sprintf("%016d", i))
+				held[k] = true
+			}
+			return held
+		})
+	})
+}
+
+func viewMemory() slope.Slope {
+	return slope.Measure("view memory", "object", "B", []float64{2000, 6000, 12000}, func(n int) float64 {
+		in := upstreams(n)
+		return heap(func() any { return view.New(1, in) })
+	})
+}
+
+func quotaBytes() slope.Slope {
+	return slope.Measure("quota ask and reply", "ask", "B", []float64{1, 10, 100}, func(n int) float64 {
+		one := size(message.QuotaAsk{Account: "salones-azuay", Want: quota.Want{Tokens: 1, Slots: 3, Held: 2}}) +
+			size(message.QuotaReply{Lease: quota.Lease{Tokens: 1, Slots: 3}})
+		return float64(n) * one
+	})
+}
+
+func orderCallBytes() slope.Slope {
+	return slope.Measure("order ask, end and replies", "order", "B", []float64{1, 10, 100}, func(n int) float64 {
+		claim := fmt.Sprintf("instance/%036d", 1)
+		answer := order.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 100)}
+		one := size(message.OrderAsk{Claim: claim, Wait: time.Second}) + size(message.OrderReply{Verdict: order.Granted}) +
+			size(message.OrderEnd{Claim: claim, Answer: answer}) + size(message.OrderReply{Verdict: order.Recorded})
+		return float64(n) * one
+	})
+}
+
 func rankTime() slope.Slope {
 	return slope.Measure("placement", "candidate", "us", []float64{60, 200, 600}, func(n int) float64 {
 		all := make([]placement.Candidate, n)
