Load the weight version that the intent states, two engines at a time

Cause: no engine was ever told to load the version of a work, so a change of it left no engine that may serve; the case in which all engines hold another version printed 503 until they were swapped back by hand. Ruled out: one instance that orders all engines, which would need all reports. Change: the sponsor of an engine compares each report with the intent and sends an order with the configuration's offset as fencing number, under one of two permits; requests are spread over the allowed versions as replicas hold them. Conclusion: an old order on an engine that ignores fencing is put right by the next report; five cases cover it.

--- /dev/null
+++ b/core/order/main_test.go
@@ -0,0 +1,20 @@
+package order
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// seed makes a run of the random histories repeatable; -rapid.seed replaces it.
+const seed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		if err := f.Value.Set(seed); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -19,6 +19,8 @@
 	Adapter string `json:"adapter,omitempty"`
 	// Version is the weight version that new requests must run on.
 	Version string `json:"version,omitempty"`
+	// OldVersions may still serve while replicas load the new one.
+	OldVersions []string `json:"old-versions,omitempty"`
 	// Path is the URL path prefix of a plain service, such as /orders.
 	Path string `json:"path,omitempty"`
 	// Role selects the upstreams: those with the same role.
@@ -68,6 +70,9 @@
 	return len(w.DataCentres) == 0 || slices.Contains(w.DataCentres, dataCentre)
 }
 
+// Versions returns the weight versions that may serve, the wanted one first.
+func (w Work) Versions() []string { return append([]string{w.Version}, w.OldVersions...) }
+
 // TimeLimit returns the time a request has when its caller states none.
 func (w Work) TimeLimit() time.Duration {
 	if w.Timeout > 0 {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"crocusfold.dev/core/ramp"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/upstream"
+	"crocusfold.dev/core/weights"
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
@@ -61,6 +62,9 @@
 	mu    sync.Mutex
 	ramps map[string]*sponsored
 	words map[string]*word
+	// loading holds the engines that this instance sends an order to.
+	loading map[string]bool
+	weights *weights.Weights
 }
 
 // state is what the request path reads of one upstream.
@@ -91,12 +95,15 @@
 	Down bool
 	// Incarnation is the digest of the upstream's incarnation; 0 if not known.
 	Incarnation uint64
+	// Version is the digest of its weight version; 0 if not known.
+	Version uint64
 }
 
 // Attach prepares the fleet to answer peers. It comes before Run.
 func (f *Fleet) Attach() {
 	f.ramps = map[string]*sponsored{}
 	f.words = map[string]*word{}
+	f.loading = map[string]bool{}
 	f.Mesh.Handle(f.handle)
 }
 
@@ -174,12 +181,16 @@
 	var rep struct {
 		Incarnation string `json:"incarnation"`
 		Running     int    `json:"running"`
+		Version     string `json:"version"`
 	}
 	if err := f.get(ctx, u, "/load", &rep); err != nil {
 		return message.Load{}, false
 	}
+	version := uint64(0)
 	if !u.Service {
+		version = message.Digest(rep.Version)
 		f.pollCache(ctx, u, sp)
+		f.reconcile(context.WithoutCancel(ctx), u, rep.Version)
 	}
 	now := time.Now()
 	f.mu.Lock()
@@ -190,7 +201,7 @@
 	sp.ramp.Observe(now, rep.Incarnation, rep.Running)
 	return message.Load{
 		Upstream: message.Digest(u.Name), Incarnation: message.Digest(rep.Incarnation),
-		Running: rep.Running, Warm: sp.ramp.Warm(now),
+		Version: version, Running: rep.Running, Warm: sp.ramp.Warm(now),
 	}, true
 }
 
@@ -277,6 +288,7 @@
 	out.Running = max(out.Running, rep.Running)
 	out.Warm = rep.Warm
 	out.Incarnation = rep.Incarnation
+	out.Version = rep.Version
 	return out
 }
 
@@ -356,6 +368,8 @@
 	case message.Chill:
 		f.withRamp(m.Upstream, func(r *ramp.Ramp) { r.Chill(now) })
 		return message.Ack{}, true, nil
+	case message.LoadPermit:
+		return message.PermitReply{OK: f.permitLoad(now, m)}, true, nil
 	case message.HeldAsk:
 		return message.HeldReply{Blocks: f.held(m.Upstream, m.Keys)}, true, nil
 	default:
--- a/entry/fleet/share.go
+++ b/entry/fleet/share.go
@@ -83,7 +83,7 @@
 		reported[l.Upstream] = true
 		old, known := n.told[l.Upstream]
 		switch {
-		case known && old.Warm && (!l.Warm || l.Incarnation != old.Incarnation):
+		case known && old.Warm && (!l.Warm || l.Incarnation != old.Incarnation || l.Version != old.Version):
 			urgent = true
 		case known && l.Warm == old.Warm && l.Incarnation == old.Incarnation && near(l.Running, old.Running):
 			continue
--- a/entry/gate/chat.go
+++ b/entry/gate/chat.go
@@ -12,9 +12,11 @@
 	"crocusfold.dev/core/account"
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/suspect"
+	"crocusfold.dev/core/weights"
 	"crocusfold.dev/core/work"
 	"crocusfold.dev/entry/cache"
 	"crocusfold.dev/entry/explain"
+	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
 )
 
@@ -59,16 +61,18 @@
 
 // chatRun is one chat completion on its way.
 type chatRun struct {
-	call     call
-	account  account.Account
-	work     work.Work
-	prompt   prompt
-	view     *view.View
-	fields   map[string]json.RawMessage
-	session  string
-	keys     []block.Key
-	stored   cache.Found
-	content  suspect.Content
+	call    call
+	account account.Account
+	work    work.Work
+	prompt  prompt
+	view    *view.View
+	fields  map[string]json.RawMessage
+	session string
+	keys    []block.Key
+	stored  cache.Found
+	content suspect.Content
+	// version is the weight version that the request runs on to its end.
+	version  string
 	deadline time.Time
 	note     explain.Explanation
 	tried    map[string]bool
@@ -127,13 +131,34 @@
 	run.session = run.prompt.session(c, a.Name)
 	text := run.prompt.text()
 	run.content = suspect.NewContent([]byte(w.Model + "\x00" + text))
-	run.keys = block.Chain(block.Holder{Account: a.Name, Model: w.Model, Adapter: w.Adapter, Version: w.Version}, text)
+	run.version = g.chooseVersion(run)
+	run.keys = block.Chain(block.Holder{Account: a.Name, Model: w.Model, Adapter: w.Adapter, Version: run.version}, text)
 	run.note = explain.Explanation{
 		Request: c.id, Instance: g.Settings.Name, At: c.start, Account: a.Name, Work: w.Name, Offset: run.view.Offset,
 	}
 	return run, nil
 }
 
+// chooseVersion picks the weight version of a request. While replicas load a
+// new version, each version gets requests as it has replicas.
+func (g *Gate) chooseVersion(run *chatRun) string {
+	versions := run.work.Versions()
+	if len(versions) == 1 {
+		return versions[0]
+	}
+	now := time.Now()
+	counts := make([]int, len(versions))
+	for _, u := range run.view.Upstreams(run.work) {
+		held := g.Fleet.Status(now, u.Name).Version
+		for i, v := range versions {
+			if held == message.Digest(v) {
+				counts[i]++
+			}
+		}
+	}
+	return weights.Choose(message.Digest(run.session), versions, counts)
+}
+
 // body returns the request for an engine: the caller's, always streamed, with
 // the blocks that may be imported.
 func (r *chatRun) body(importing bool) ([]byte, error) {
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		untried++
-		if st.Down {
+		if st.Down || (st.Version != 0 && st.Version != message.Digest(run.version)) {
 			continue
 		}
 		_, limit := u.Limits()
@@ -236,7 +236,7 @@
 		return err
 	}
 	stream, err := s.gate.Engines.Open(ctx, att, s.up, engineclient.Request{
-		ID: run.call.id, Attempt: run.attempts, Account: run.account.Name, Version: run.work.Version,
+		ID: run.call.id, Attempt: run.attempts, Account: run.account.Name, Version: run.version,
 		Priority: run.call.priority, ResumeFrom: resumeFrom, Body: body,
 		FirstLimit: firstLimit + firstFactor*s.choice.Estimate,
 	})
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -112,6 +112,13 @@
 	Upstream string `json:"upstream"`
 }
 
+// LoadPermit asks to load weights on an engine, or gives the permit back;
+// answered by PermitReply.
+type LoadPermit struct {
+	Upstream string `json:"upstream"`
+	Release  bool   `json:"release"`
+}
+
 // Loads shares what a sponsor knows of its upstreams; answered by Ack.
 type Loads struct {
 	// Start and Seq number the messages of one run of the sponsor. A message
@@ -131,8 +138,10 @@
 	// Upstream and Incarnation are made by Digest.
 	Upstream    uint64
 	Incarnation uint64
-	Running     int
-	Warm        bool
+	// Version is the digest of the weight version; 0 for a plain service.
+	Version uint64
+	Running int
+	Warm    bool
 }
 
 // Digest hashes a name for a Load.
@@ -198,6 +207,7 @@
 func (HeldAsk) message()     {}
 func (HeldReply) message()   {}
 func (ContentLock) message() {}
+func (LoadPermit) message()  {}
 
 // Codec writes messages as CBOR.
 var Codec = codec.NewUnion(
@@ -224,4 +234,5 @@
 	codec.Case(21, func(m HeldAsk) Message { return m }),
 	codec.Case(22, func(m HeldReply) Message { return m }),
 	codec.Case(23, func(m ContentLock) Message { return m }),
+	codec.Case(24, func(m LoadPermit) Message { return m }),
 )
--- a/proof/deployment/deployment.go
+++ b/proof/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -288,7 +289,7 @@
 			return e.Listen, true
 		}
 	}
-	for _, p := range append(append([]stage.Place{}, d.stage.Services...), d.stage.Stores...) {
+	for _, p := range slices.Concat(d.stage.Services, d.stage.Stores, d.stage.Weights) {
 		if p.Name == name {
 			return p.Listen, true
 		}
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -61,33 +63,37 @@
 
 // commands is the look-up table of the scripts' commands.
 var commands = map[string]func(b *bench, args []string) []string{
-	"deploy":  (*bench).deploy,
-	"order":   (*bench).order,
-	"chat":    (*bench).chat,
-	"burst":   (*bench).burst,
-	"calls":   (*bench).calls,
-	"fault":   (*bench).fault,
-	"plan":    (*bench).plan,
-	"confirm": (*bench).confirm,
-	"drain":   (*bench).drain,
-	"return":  (*bench).drain,
-	"cut":     (*bench).cut,
-	"heal":    (*bench).cut,
-	"kill":    (*bench).kill,
-	"leave":   (*bench).leave,
-	"restart": (*bench).restart,
-	"delist":  (*bench).delist,
-	"crash":   (*bench).crash,
-	"swap":    (*bench).swap,
-	"empty":   (*bench).empty,
-	"sleep":   (*bench).sleep,
-	"status":  (*bench).status,
-	"ready":   (*bench).ready,
-	"inforce": (*bench).inForce,
-	"mark":    (*bench).mark,
-	"started": (*bench).started,
-	"seen":    (*bench).seen,
-	"wait":    (*bench).wait,
+	"deploy":   (*bench).deploy,
+	"order":    (*bench).order,
+	"chat":     (*bench).chat,
+	"burst":    (*bench).burst,
+	"calls":    (*bench).calls,
+	"fault":    (*bench).fault,
+	"plan":     (*bench).plan,
+	"confirm":  (*bench).confirm,
+	"drain":    (*bench).drain,
+	"return":   (*bench).drain,
+	"cut":      (*bench).cut,
+	"heal":     (*bench).cut,
+	"kill":     (*bench).kill,
+	"leave":    (*bench).leave,
+	"restart":  (*bench).restart,
+	"delist":   (*bench).delist,
+	"crash":    (*bench).crash,
+	"swap":     (*bench).swap,
+	"empty":    (*bench).empty,
+	"issue":    (*bench).issue,
+	"version":  (*bench).version,
+	"versions": (*bench).versions,
+	"loads":    (*bench).loads,
+	"sleep":    (*bench).sleep,
+	"status":   (*bench).status,
+	"ready":    (*bench).ready,
+	"inforce":  (*bench).inForce,
+	"mark":     (*bench).mark,
+	"started":  (*bench).started,
+	"seen":     (*bench).seen,
+	"wait":     (*bench).wait,
 }
 
 func (b *bench) stop() {
@@ -190,7 +196,7 @@
 	return strings.TrimSpace(strings.Join(words, " "))
 }
 
-// chat ENTRY ACCOUNT [words=N] [tokens=N] [text=T] [stream] [timeout=MS]
+// chat ENTRY ACCOUNT [words=N] [tokens=N] [text=T] [version=V,V] [timeout=MS] [stream]
 func (b *bench) chat(args []string) []string { return []string{b.chatOnce(args)} }
 
 func (b *bench) chatOnce(args []string) string {
@@ -219,17 +225,24 @@
 		return outcome(ans)
 	}
 	text, cached, ended := readChat(ans.Body, stream)
+	if !ended {
+		return "200 ended with an error"
+	}
+	for _, version := range strings.Split(cmp.Or(opts["version"], "v1"), ",") {
+		if text == wholeAnswer(version, content, tokens) {
+			return fmt.Sprintf("200 whole cached=%d", cached)
+		}
+	}
+	return fmt.Sprintf("200 WRONG ANSWER %q", text)
+}
+
+// wholeAnswer is what the stand-in answers on one weight version throughout.
+func wholeAnswer(version, content string, tokens int) string {
 	want := ""
 	for n := range tokens {
-		want += engine.Token("diseno", "v1", "user: "+content+"\n", n)
-	}
-	switch {
-	case !ended:
-		return "200 ended with an error"
-	case text != want:
-		return fmt.Sprintf("200 WRONG ANSWER %q instead of %q", text, want)
+		want += engine.Token("diseno", version, "user: "+content+"\n", n)
 	}
-	return fmt.Sprintf("200 whole cached=%d", cached)
+	return want
 }
 
 func prompt(opts map[string]string) string {
@@ -444,10 +457,55 @@
 
 // swap ENGINE VERSION loads another weight version behind the system's back.
 func (b *bench) swap(args []string) []string {
-	_, _ = b.d.StandIn(args[1], http.MethodPost, "/orders", fmt.Appendf(nil, `{"version":%q,"fence":%d}`, args[2], time.Now().UnixNano()))
+	_, _ = b.d.StandIn(args[1], http.MethodPost, "/stand-in/swap/"+args[2], nil)
 	return nil
 }
 
+// issue ENGINE VERSION FENCE sends an order as another issuer would.
+func (b *bench) issue(args []string) []string {
+	raw, _ := b.d.StandIn(args[1], http.MethodPost, "/orders", fmt.Appendf(nil, `{"version":%q,"fence":%s}`, args[2], args[3]))
+	if len(raw) == 0 {
+		return nil
+	}
+	return []string{strings.TrimSpace(string(raw))}
+}
+
+// version ENTRY NEW [old=V] states another weight version in the intent.
+func (b *bench) version(args []string) []string {
+	wanted := b.d.Intent
+	wanted.Works = slices.Clone(wanted.Works)
+	for i := range wanted.Works {
+		if wanted.Works[i].Model == "" {
+			continue
+		}
+		wanted.Works[i].Version = args[2]
+		if old := options(args)["old"]; old != "" {
+			wanted.Works[i].OldVersions = []string{old}
+		}
+	}
+	id := b.nextID()
+	b.plans[id] = b.d.Plan(id, b.d.State(args[1]), wanted)
+	return b.confirm([]string{"confirm", id, args[1]})
+}
+
+// versions counts the engines by the weight version that they hold.
+func (b *bench) versions([]string) []string {
+	counts := map[string]int{}
+	for _, e := range b.d.Engines() {
+		var s struct{ Version string }
+		raw, _ := b.d.StandIn(e.Name, http.MethodGet, "/stand-in/seen", nil)
+		_ = json.Unmarshal(raw, &s)
+		counts[s.Version]++
+	}
+	return summary(counts, false, "")
+}
+
+// loads prints the most loads of weights that ran at once.
+func (b *bench) loads([]string) []string {
+	raw, _ := b.d.StandIn("weights", http.MethodGet, "/stand-in/peak", nil)
+	return []string{strings.TrimSpace(string(raw))}
+}
+
 // empty STORE restarts a store without its contents.
 func (b *bench) empty(args []string) []string {
 	_, _ = b.d.StandIn(args[1], http.MethodPost, "/stand-in/restart", nil)
--- a/standin/engine/context.go
+++ b/standin/engine/context.go
@@ -146,6 +146,27 @@
 	Fence   uint64 `json:"fence"`
 }
 
+// fetchWeights gets a version from the weight store.
+func (e *Engine) fetchWeights(ctx context.Context, version string) error {
+	if !e.Weights.IsValid() {
+		return nil
+	}
+	url := fmt.Sprintf("http://%s/weights/%s/%s", e.Weights, e.Model, version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("preparing to load weights: %w", err)
+	}
+	resp, err := e.client().Do(req)
+	if err != nil {
+		return fmt.Errorf("loading weights: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("loading weights: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // takeOrder loads another weight version. Running requests end on their own.
 func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
 	e.alive()
@@ -155,15 +176,36 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.Fencing && o.Fence < e.fence {
+	old := e.Fencing && o.Fence < e.fence
+	e.mu.Unlock()
+	if old {
 		http.Error(w, "the fencing number is old", http.StatusConflict)
 		return
 	}
+	if err := e.fetchWeights(r.Context(), o.Version); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.fence = max(e.fence, o.Fence)
-	if o.Version != e.Version {
-		e.Version = o.Version
-		e.cache = map[block.Key]int{}
-		e.order = nil
+	e.setVersion(o.Version)
+}
+
+// swap changes the version without an order, as an engine does that was
+// restarted with other weights.
+func (e *Engine) swap(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setVersion(version)
+}
+
+// setVersion drops the cache with the old weights. The caller holds mu.
+func (e *Engine) setVersion(version string) {
+	if version == e.Version {
+		return
 	}
+	e.Version = version
+	e.cache = map[block.Key]int{}
+	e.order = nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 // concurrent use.
 type Engine struct {
 	Name, Model, Version string
+	// Weights is the address of the weight store; if it is not valid, weights
+	// load at once.
+	Weights netip.AddrPort
 	// Fencing is true if orders with an old number are refused.
 	Fencing bool
 	Timing  Timing
@@ -107,6 +111,7 @@
 	mux.HandleFunc("POST /orders", e.takeOrder)
 	mux.Handle(fault.Path, &e.faults)
 	mux.HandleFunc("POST /stand-in/crash", func(http.ResponseWriter, *http.Request) { e.crash() })
+	mux.HandleFunc("POST /stand-in/swap/{version}", func(_ http.ResponseWriter, r *http.Request) { e.swap(r.PathValue("version")) })
 	mux.HandleFunc("GET /stand-in/seen", e.seen)
 	return mux
 }
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -60,6 +60,9 @@
 	Cache     int            `json:"cache-blocks"`
 	ColdLimit int            `json:"cold-limit"`
 	WarmLimit int            `json:"warm-limit"`
+	// WeightStore is the address of the weight store; weights load at once
+	// without it.
+	WeightStore netip.AddrPort `json:"weight-store"`
 }
 
 type server struct {
@@ -120,7 +123,7 @@
 			Token: e.Token, Prefill: e.Prefill, WarmUp: e.WarmUp,
 			CacheBlocks: e.Cache, ColdLimit: e.ColdLimit, WarmLimit: e.WarmLimit,
 		}
-		one := &engine.Engine{Name: e.Name, Model: e.Model, Version: e.Version, Fencing: e.Fencing, Timing: t, Client: &http.Client{Transport: on(e.Name).Transport()}}
+		one := &engine.Engine{Name: e.Name, Model: e.Model, Version: e.Version, Fencing: e.Fencing, Weights: e.WeightStore, Timing: t, Client: &http.Client{Transport: on(e.Name).Transport()}}
 		all = append(all, server{e.Name, e.Listen, one.Handler()})
 	}
 	return all
