Replay traces against baselines and an oracle

Cause: the users' four measures were not measured for any placement. Change: crocus-replay generates a trace from a seed (open JSON lines), or reads one, and replays it through core/placement and four other policies with small fakes of engines, links and stores.

--- /dev/null
+++ b/cmd/crocus-replay/main.go
@@ -0,0 +1,113 @@
+// Command crocus-replay replays a trace under the placement of crocusfold and
+// under baselines, and prints the users' four measures for each.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"crocusfold.dev/measure/replay"
+	"crocusfold.dev/measure/trace"
+)
+
+const usage = `Replays a trace, or one that is generated from a seed, with small fakes
+of engines, links and stores.
+
+  crocus-replay --deployment cooperative --seed 7
+  crocus-replay --deployment zarqa --seed 7 --write trace.jsonl
+  crocus-replay --deployment zarqa --trace trace.jsonl`
+
+type options struct {
+	Deployment string  `long:"deployment" choice:"cooperative" choice:"zarqa" default:"cooperative" description:"whose deployment"`
+	Seed       uint64  `long:"seed" default:"1" description:"seed of the generated trace"`
+	Hours      float64 `long:"hours" default:"6" description:"length of the generated trace"`
+	Write      string  `long:"write" value-name:"FILE" description:"write the generated trace and end"`
+	Trace      string  `long:"trace" value-name:"FILE" description:"replay this trace"`
+}
+
+type deployment struct {
+	fleet replay.Fleet
+	shape trace.Shape
+}
+
+// deployments is the table of the users' deployments at today's sizes.
+var deployments = map[string]deployment{
+	"cooperative": {
+		replay.Fleet{
+			DataCentres: []string{"cuenca-norte", "cuenca-sur", "gualaceo"}, Replicas: 12, Stores: []string{"memoria-a", "memoria-b"},
+			CacheBlocks: 300, StoreBlocks: 20_000, RecomputeWeight: 40 * time.Millisecond,
+		},
+		trace.Shape{Sessions: 3000, Accounts: 10, Gap: 20 * time.Minute, Blocks: 10, Tokens: 200, Outage: "gualaceo", Store: "memoria-a"},
+	},
+	"zarqa": {
+		replay.Fleet{
+			DataCentres: []string{"sahab", "marka", "tila"}, Replicas: 9, Stores: []string{"fold-a", "fold-b"},
+			CacheBlocks: 300, StoreBlocks: 20_000,
+		},
+		trace.Shape{Sessions: 4000, Accounts: 10, Gap: 12 * time.Minute, Blocks: 4, Tokens: 80, Outage: "tila", Store: "fold-b"},
+	},
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		if flags.WroteHelp(err) {
+			fmt.Println(err)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "crocus-replay:", err)
+		os.Exit(2)
+	}
+}
+
+func run(args []string) error {
+	var opts options
+	parser := flags.NewNamedParser("crocus-replay", flags.HelpFlag)
+	parser.LongDescription = usage
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return fmt.Errorf("preparing the options: %w", err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return err
+	}
+	d := deployments[opts.Deployment]
+	d.shape.Hours = opts.Hours
+	all := trace.Generate(d.shape, opts.Seed)
+	if opts.Write != "" {
+		return write(opts.Write, all)
+	}
+	if opts.Trace != "" {
+		var err error
+		if all, err = read(opts.Trace); err != nil {
+			return err
+		}
+	}
+	fmt.Println(replay.Header)
+	for _, p := range replay.Policies {
+		fmt.Println(replay.Run(all, d.fleet, p, opts.Seed))
+	}
+	return nil
+}
+
+func write(file string, all []trace.Record) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("creating the trace: %w", err)
+	}
+	if err := trace.Write(f, all); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func read(file string) ([]trace.Record, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("opening the trace: %w", err)
+	}
+	defer f.Close()
+	return trace.Read(f)
+}
