Weigh the backlog of engines and the load of the store's link

Change: engines report the prefill that waits, stores tell the wait for their link with each look-up, and the estimate takes both.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -43,6 +43,9 @@
 	Running, Limit int
 	// Held is the number of the prompt's blocks believed to be in its cache.
 	Held int
+	// Backlog is the work that waits for computation before a new request, as
+	// far as it was reported, less its age.
+	Backlog time.Duration
 	// Distance is the one-way delay to the upstream.
 	Distance time.Duration
 }
@@ -55,8 +58,8 @@
 	Blocks int
 	// Stored is the number of leading blocks that a store holds.
 	Stored int
-	// Link multiplies the time of an import by the load of the link; 0 means 1.
-	Link float64
+	// LinkWait is how long the link to the store is taken by earlier transfers.
+	LinkWait time.Duration
 }
 
 // Choice is a candidate with its estimate, as shown by explain.
@@ -138,7 +141,7 @@
 // saves, and the time to the first token.
 func (p Placement) estimate(req Request, c *Candidate) (Source, int, time.Duration) {
 	held := min(c.Held, req.Blocks)
-	wait := 2*c.Distance + queueDelay(c)
+	wait := 2*c.Distance + c.Backlog + queueDelay(c)
 	source := Recompute
 	if held > 0 {
 		source = Reuse
@@ -147,9 +150,9 @@
 	if req.Stored <= held {
 		return source, held, best
 	}
-	link := max(req.Link, 1)
-	transfer := time.Duration(float64(req.Stored-held) * link * float64(importTime))
-	if imported := wait + transfer + p.cost(req.Blocks-req.Stored); imported < best {
+	// The transfer goes on while the request waits for its turn to compute.
+	transfer := req.LinkWait + time.Duration(req.Stored-held)*importTime
+	if imported := 2*c.Distance + max(transfer, c.Backlog) + queueDelay(c) + p.cost(req.Blocks-req.Stored); imported < best {
 		return Import, req.Stored, imported
 	}
 	return source, held, best
--- a/entry/cache/cache.go
+++ b/entry/cache/cache.go
@@ -44,6 +44,14 @@
 type Found struct {
 	Store  netip.AddrPort `json:"store"`
 	Blocks []Location     `json:"blocks"`
+	// Wait is how long the store's link is taken by earlier transfers.
+	Wait time.Duration `json:"-"`
+}
+
+// lookup is a store's answer.
+type lookup struct {
+	Blocks     []Location `json:"blocks"`
+	WaitMillis int        `json:"wait-millis"`
 }
 
 // Cache talks to the stores. Client and Logger must be set. It is safe for
@@ -79,16 +87,16 @@
 	if d := c.downTo.Load(); d != nil && now.Before(*d) {
 		return Found{}
 	}
-	found := Found{Store: st.Address}
+	var ans lookup
 	ctx, cancel := context.WithTimeout(ctx, lookupLimit)
 	defer cancel()
-	if err := c.post(ctx, st.Address, "/lookup", keys, &found.Blocks); err != nil {
+	if err := c.post(ctx, st.Address, "/lookup", keys, &ans); err != nil {
 		until := now.Add(downFor)
 		c.downTo.Store(&until)
 		_ = c.Logger.Log("msg", "A store did not answer; its context is recomputed.", "store", st.Name, "err", err)
 		return Found{}
 	}
-	return found
+	return Found{Store: st.Address, Blocks: ans.Blocks, Wait: time.Duration(ans.WaitMillis) * time.Millisecond}
 }
 
 type exportRequest struct {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -97,6 +97,8 @@
 	Incarnation uint64
 	// Version is the digest of its weight version; 0 if not known.
 	Version uint64
+	// Backlog is the computation that waits there, less the report's age.
+	Backlog time.Duration
 }
 
 // Attach prepares the fleet to answer peers. It comes before Run.
@@ -182,6 +184,7 @@
 		Incarnation string `json:"incarnation"`
 		Running     int    `json:"running"`
 		Version     string `json:"version"`
+		Backlog     int    `json:"backlog-millis"`
 	}
 	if err := f.get(ctx, u, "/load", &rep); err != nil {
 		return message.Load{}, false
@@ -201,7 +204,7 @@
 	sp.ramp.Observe(now, rep.Incarnation, rep.Running)
 	return message.Load{
 		Upstream: message.Digest(u.Name), Incarnation: message.Digest(rep.Incarnation),
-		Version: version, Running: rep.Running, Warm: sp.ramp.Warm(now),
+		Version: version, Running: rep.Running, BacklogMillis: rep.Backlog, Warm: sp.ramp.Warm(now),
 	}, true
 }
 
@@ -289,6 +292,7 @@
 	out.Warm = rep.Warm
 	out.Incarnation = rep.Incarnation
 	out.Version = rep.Version
+	out.Backlog = max(0, time.Duration(rep.BacklogMillis)*time.Millisecond-rep.by.age(now))
 	return out
 }
 
--- a/entry/fleet/share.go
+++ b/entry/fleet/share.go
@@ -19,6 +19,8 @@
 	// minChange is the change of a load, in requests, that is always too small
 	// to be told.
 	minChange = 1
+	// backlogStep is the size of a change of a backlog, in milliseconds.
+	backlogStep = 50
 )
 
 // word is what an instance has heard of one sponsor, and when.
@@ -36,6 +38,14 @@
 	return at != nil && now.Sub(*at) <= loadFresh
 }
 
+// age returns the time since the sponsor was heard.
+func (w *word) age(now time.Time) time.Duration {
+	if at := w.at.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return loadFresh
+}
+
 // news is what a sponsor has told its peers. Only round uses it.
 type news struct {
 	start    int64
@@ -85,7 +95,7 @@
 		switch {
 		case known && old.Warm && (!l.Warm || l.Incarnation != old.Incarnation || l.Version != old.Version):
 			urgent = true
-		case known && l.Warm == old.Warm && l.Incarnation == old.Incarnation && near(l.Running, old.Running):
+		case known && l.Warm == old.Warm && l.Incarnation == old.Incarnation && near(l.Running, old.Running) && near(l.BacklogMillis/backlogStep, old.BacklogMillis/backlogStep):
 			continue
 		}
 		changed = append(changed, l)
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -190,10 +190,10 @@
 		}
 		_, limit := u.Limits()
 		all = append(all, placement.Candidate{
-			Name: u.Name, Running: st.Running, Limit: limit, Distance: g.Settings.DistanceTo(u.DataCentre),
+			Name: u.Name, Running: st.Running, Limit: limit, Backlog: st.Backlog, Distance: g.Settings.DistanceTo(u.DataCentre),
 		})
 	}
-	req := placement.Request{Session: run.session, Blocks: len(run.keys), Stored: len(run.stored.Blocks)}
+	req := placement.Request{Session: run.session, Blocks: len(run.keys), Stored: len(run.stored.Blocks), LinkWait: run.stored.Wait}
 	if len(run.keys) > 0 {
 		g.fillHeld(ctx, run.view, req.Session, run.keys, all)
 	}
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -141,7 +141,9 @@
 	// Version is the digest of the weight version; 0 for a plain service.
 	Version uint64
 	Running int
-	Warm    bool
+	// BacklogMillis is the computation that waited at the report.
+	BacklogMillis int
+	Warm          bool
 }
 
 // Digest hashes a name for a Load.
--- a/measure/probe/probe.go
+++ b/measure/probe/probe.go
@@ -155,7 +155,8 @@
 		m := message.Loads{Start: 1 << 60, Seq: 1 << 20}
 		for i := range n {
 			m.Loads = append(m.Loads, message.Load{
-				Upstream: message.Digest(fmt.Sprint("telar-", i)), Incarnation: message.Digest(fmt.Sprint("life-", i)), Running: 12, Warm: true,
+				Upstream: message.Digest(fmt.Sprint("telar-", i)), Incarnation: message.Digest(fmt.Sprint("life-", i)),
+				Version: message.Digest("v1"), Running: 12, BacklogMillis: 400, Warm: true,
 			})
 		}
 		return size(m)
--- a/measure/replay/fakes.go
+++ b/measure/replay/fakes.go
@@ -59,8 +59,10 @@
 	prefillUntil     time.Duration
 	coldSince        time.Duration
 	out              bool
-	// seen is the load as reported, seenAt when.
+	// seen is the load as reported, freeAt the end of the prefills that waited
+	// then, seenAt when.
 	seen   int
+	freeAt time.Duration
 	seenAt time.Duration
 }
 
@@ -86,11 +88,14 @@
 // reported returns the running requests as last reported.
 func (r *replica) reported(now time.Duration) int {
 	if now-r.seenAt >= reportLag {
-		r.seen, r.seenAt = r.running(now), now
+		r.seen, r.freeAt, r.seenAt = r.running(now), r.prefillUntil, now
 	}
 	return r.seen
 }
 
+// backlog returns what is left of the prefills that were last reported.
+func (r *replica) backlog(now time.Duration) time.Duration { return max(0, r.freeAt-now) }
+
 // fakeStore is a store with a link that carries one transfer after the other.
 type fakeStore struct {
 	name  string
--- a/measure/replay/policies.go
+++ b/measure/replay/policies.go
@@ -46,6 +46,7 @@
 	all := make([]placement.Candidate, len(open))
 	for i, x := range open {
 		all[i] = placement.Candidate{Name: x.name, Running: x.reported(now), Limit: warmLimit}
+		all[i].Backlog = x.backlog(now)
 	}
 	return all
 }
@@ -83,7 +84,8 @@
 	}
 	req := placement.Request{
 		Session: rec.Session, Blocks: rec.Blocks,
-		Stored: min(r.store(rec.Session).shelf.get(rec.Session), rec.Blocks),
+		LinkWait: max(0, r.store(rec.Session).until-rec.At),
+		Stored:   min(r.store(rec.Session).shelf.get(rec.Session), rec.Blocks),
 	}
 	r.buf = r.placing.Rank(req, all, r.buf)
 	if len(r.buf) == 0 {
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -87,11 +87,19 @@
 			held++
 		}
 	}
+	e.addPrefill(len(keys) - held)
+	defer e.addPrefill(held - len(keys))
 	wait(life, time.Duration(len(keys)-held)*e.Timing.Prefill)
 	e.insert(keys)
 	return held * block.Tokens
 }
 
+func (e *Engine) addPrefill(blocks int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prefilling += time.Duration(blocks)
+}
+
 func (e *Engine) held(keys []block.Key) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -67,7 +67,9 @@
 	lives  int
 	// running and peakCold are in requests at once.
 	running, peakCold int
-	deaths            int
+	// prefilling is the number of blocks that are to be computed.
+	prefilling time.Duration
+	deaths     int
 	// started counts the requests that were begun.
 	started int
 	fence   uint64
@@ -95,6 +97,8 @@
 	Running     int    `json:"running"`
 	Model       string `json:"model"`
 	Version     string `json:"version"`
+	// BacklogMillis is the computation of prompts that waits.
+	BacklogMillis int `json:"backlog-millis"`
 }
 
 // Handler returns the engine's HTTP interface.
@@ -176,7 +180,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.reports = append(e.reports, loadReport{now, Load{e.incarnation(), e.running, e.Model, e.Version}})
+	e.reports = append(e.reports, loadReport{now, Load{e.incarnation(), e.running, e.Model, e.Version, int(e.prefilling * e.Timing.Prefill / time.Millisecond)}})
 	lag := time.Duration(e.faults.Get().LoadLagMillis) * time.Millisecond
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= lag {
 		e.reports = e.reports[1:]
--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusfold.dev/standin/fault"
@@ -51,7 +52,9 @@
 	// Capacity is in blocks; 0 means 4096.
 	Capacity int
 
-	faults      fault.Switch[Faults]
+	faults fault.Switch[Faults]
+	// moving is the number of blocks that are being transferred.
+	moving      atomic.Int64
 	mu          sync.Mutex
 	incarnation string
 	generation  uint64
@@ -81,6 +84,8 @@
 }
 
 func (s *Store) down(w http.ResponseWriter) bool {
+	s.moving.Add(1)
+	defer s.moving.Add(-1)
 	f := s.faults.Get()
 	time.Sleep(time.Duration(f.MillisPerBlock) * time.Millisecond)
 	if f.Down {
@@ -142,6 +147,14 @@
 	_, _ = w.Write(data)
 }
 
+// Lookup is the answer to a look-up.
+type Lookup struct {
+	// Blocks are the locations of the leading blocks that are held whole.
+	Blocks []Location `json:"blocks"`
+	// WaitMillis is how long the store's link is taken by earlier transfers.
+	WaitMillis int `json:"wait-millis"`
+}
+
 // lookup returns the locations of the leading blocks that are held whole.
 func (s *Store) lookup(w http.ResponseWriter, r *http.Request) {
 	if s.down(w) {
@@ -162,5 +175,6 @@
 		}
 		found = append(found, e.loc)
 	}
-	fault.WriteJSON(w, found)
+	wait := int(s.moving.Load()) * s.faults.Get().MillisPerBlock
+	fault.WriteJSON(w, Lookup{Blocks: found, WaitMillis: wait})
 }
