Give upstreams that the platform lists as leaving no new work

Cause: only the operators' drain was followed; the platform's list names leaving upstreams too. Ruled out: putting the list into the view, which would rebuild it each second.

--- a/entry/cache/cache.go
+++ b/entry/cache/cache.go
@@ -2,11 +2,8 @@
 package cache
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -18,6 +15,7 @@
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/store"
 	"crocusfold.dev/core/upstream"
+	"crocusfold.dev/platform/jsoncall"
 )
 
 // Limits on the use of stores and links.
@@ -26,7 +24,6 @@
 	exportLimit = 5 * time.Second
 	// maxExports bounds the exports that run at once.
 	maxExports = 8
-	maxAnswer  = 4 << 20
 	// downFor is how long a store that failed is not asked.
 	downFor = time.Second
 )
@@ -129,24 +126,8 @@
 }
 
 func (c *Cache) post(ctx context.Context, to netip.AddrPort, path string, body, out any) error {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return fmt.Errorf("encoding a call to %s: %w", to, err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, bytes.NewReader(raw))
-	if err != nil {
-		return fmt.Errorf("preparing a call to %s: %w", to, err)
-	}
-	resp, err := c.Client.Do(req)
-	if err != nil {
-		return fmt.Errorf("calling %s: %w", to, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("calling %s: status %d", to, resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
-		return fmt.Errorf("reading the answer of %s: %w", to, err)
+	if err := jsoncall.Post(ctx, c.Client, "http://"+to.String()+path, body, out); err != nil {
+		return fmt.Errorf("calling a store or engine: %w", err)
 	}
 	return nil
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -23,6 +21,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/platform/jsoncall"
 )
 
 // Times of the fleet.
@@ -37,7 +36,6 @@
 	takeOver = time.Second
 	// unreachableFor is how long an upstream that refused a connection is left out.
 	unreachableFor = time.Second
-	maxLoad        = 64 << 10
 )
 
 // ErrNoPermit means that the upstream may get no more work now.
@@ -220,19 +218,7 @@
 }
 
 func (f *Fleet) get(ctx context.Context, u upstream.Upstream, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address.String()+path, nil)
-	if err != nil {
-		return fmt.Errorf("preparing a report of %s: %w", u.Name, err)
-	}
-	resp, err := f.Client.Do(req)
-	if err != nil {
-		return fmt.Errorf("reading a report of %s: %w", u.Name, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("reading a report of %s: status %d", u.Name, resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoad)).Decode(out); err != nil {
+	if err := jsoncall.Get(ctx, f.Client, "http://"+u.Address.String()+path, out); err != nil {
 		return fmt.Errorf("reading a report of %s: %w", u.Name, err)
 	}
 	return nil
--- a/entry/fleet/weights.go
+++ b/entry/fleet/weights.go
@@ -1,11 +1,8 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"time"
 
 	"crocusfold.dev/core/roster"
@@ -13,6 +10,7 @@
 	"crocusfold.dev/core/weights"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/platform/jsoncall"
 )
 
 // Times of loading weights.
@@ -106,22 +104,9 @@
 }
 
 func (f *Fleet) order(ctx context.Context, u upstream.Upstream, o weightOrder) error {
-	raw, err := json.Marshal(o)
-	if err != nil {
-		return fmt.Errorf("encoding an order: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Address.String()+"/orders", bytes.NewReader(raw))
-	if err != nil {
-		return fmt.Errorf("preparing an order: %w", err)
-	}
-	resp, err := f.Client.Do(req)
-	if err != nil {
+	if err := jsoncall.Post(ctx, f.Client, "http://"+u.Address.String()+"/orders", o, nil); err != nil {
 		return fmt.Errorf("sending an order to %s: %w", u.Name, err)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("sending an order to %s: status %d", u.Name, resp.StatusCode)
-	}
 	_ = f.Logger.Log("msg", "An engine loaded weights.", "upstream", u.Name, "version", o.Version, "fence", o.Fence)
 	return nil
 }
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,10 +15,11 @@
 	"crocusfold.dev/core/freshness"
 	"crocusfold.dev/core/ledger"
 	"crocusfold.dev/core/roster"
+	"crocusfold.dev/core/upstream"
+	"crocusfold.dev/core/work"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
-	"crocusfold.dev/platform/codec"
 	"crocusfold.dev/platform/instances"
 	"crocusfold.dev/platform/logstream"
 )
@@ -65,6 +64,8 @@
 	view      atomic.Pointer[view.View]
 	judgement atomic.Pointer[freshness.Judgement]
 	leaving   atomic.Bool
+	// leavingUpstreams is what the platform's list last said.
+	leavingUpstreams atomic.Pointer[map[string]bool]
 
 	mu         sync.Mutex
 	ledger     ledger.Ledger
@@ -114,6 +115,31 @@
 	return !f.leaving.Load() && f.view.Load() != nil && f.MayTakeWork(now)
 }
 
+// Upstreams returns the upstreams that may get new work of a kind: those of the
+// view, less those that the platform lists as leaving.
+func (f *Follower) Upstreams(v *view.View, w work.Work) []upstream.Upstream {
+	all := v.Upstreams(w)
+	open := all[:0]
+	for _, u := range all {
+		if !f.isLeaving(u.Name) {
+			open = append(open, u)
+		}
+	}
+	return open
+}
+
+// Open reports whether an upstream may get new work now.
+func (f *Follower) Open(name string) bool {
+	v := f.View()
+	u, ok := v.Upstream(name)
+	return ok && v.Open(u) && !f.isLeaving(name)
+}
+
+func (f *Follower) isLeaving(name string) bool {
+	leaving := f.leavingUpstreams.Load()
+	return leaving != nil && (*leaving)[name]
+}
+
 // Leave marks the instance as leaving, so that it gets no duties.
 func (f *Follower) Leave() {
 	f.leaving.Store(true)
@@ -203,137 +229,6 @@
 	}
 }
 
-// readsLog reports whether this instance must read the log itself: it is one
-// of its data centre's readers, or the readers' word is late.
-func (f *Follower) readsLog(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	age := f.fresh.ProofAge(now)
-	return f.roster.IsReader(now) || age < 0 || age > relayStale
-}
-
-func (f *Follower) readLoop(ctx context.Context) {
-	wait := backoff
-	for ctx.Err() == nil {
-		if !f.readsLog(time.Now()) {
-			pause(ctx, backoff)
-			continue
-		}
-		began := time.Now()
-		err := f.readOnce(ctx)
-		f.noteReading(err)
-		if err == nil {
-			wait = backoff
-			pause(ctx, readInterval-time.Since(began))
-			continue
-		}
-		pause(ctx, wait)
-		wait = min(2*wait, maxBackoff)
-	}
-}
-
-// noteReading logs when reading begins to fail and when it works again.
-func (f *Follower) noteReading(err error) {
-	switch {
-	case err != nil && !f.readFailing:
-		_ = f.Logger.Log("msg", "Reading the configuration stream failed.", "err", err)
-	case err == nil && f.readFailing:
-		_ = f.Logger.Log("msg", "The configuration stream can be read again.")
-	}
-	f.readFailing = err != nil
-}
-
-func (f *Follower) readOnce(ctx context.Context) error {
-	f.mu.Lock()
-	from := f.ledger.Next()
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, readWait+callLimit)
-	defer cancel()
-	page, err := f.Log.Read(ctx, from, readWait)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.retention = page.Retention
-	if page.Oldest > f.ledger.Next() {
-		f.skip(page.Oldest)
-	}
-	for _, rec := range page.Records {
-		if err := f.apply(rec.Offset, rec.Data); err != nil {
-			return err
-		}
-	}
-	f.publish()
-	return nil
-}
-
-// skip starts again at the oldest record. A ledger that fell behind the log's
-// retention forgets its state; the view stays until a complete one replaces it.
-func (f *Follower) skip(oldest uint64) {
-	if err := f.ledger.Skip(oldest); err != nil {
-		_ = f.Logger.Log("msg", "The configuration expired before it was read; waiting for a snapshot.", "err", err)
-		f.ledger.Reset()
-		f.built = 0
-		_ = f.ledger.Skip(oldest)
-	}
-	f.recent = nil
-}
-
-// apply takes one raw record. The caller holds mu.
-func (f *Follower) apply(offset uint64, raw []byte) error {
-	if offset < f.ledger.Next() {
-		return nil
-	}
-	rec, err := codec.Changes.Decode(raw)
-	if err != nil {
-		// Every reader skips a record that can't be read, so all stay alike.
-		_ = f.Logger.Log("msg", "Skipped a record that can't be read.", "offset", offset, "err", err)
-		rec = change.Tick{}
-	}
-	out, err := f.ledger.Apply(offset, rec)
-	if err != nil {
-		return fmt.Errorf("following the configuration stream: %w", err)
-	}
-	f.keep(offset, raw)
-	switch rec := rec.(type) {
-	case change.Tick:
-		f.readTick(rec)
-	case change.Snapshot:
-		f.lastSnap = time.Now()
-	case change.Change:
-		_ = f.Logger.Log("msg", "Read a change.", "id", rec.ID, "offset", offset, "verdict", out.Verdict, "detail", out.Detail)
-	}
-	return nil
-}
-
-func (f *Follower) readTick(t change.Tick) {
-	began, ok := f.ticks[t.Seq]
-	if !ok || t.Issuer != f.tickID {
-		return
-	}
-	f.fresh.Prove(began)
-	for seq := range f.ticks {
-		if seq <= t.Seq {
-			delete(f.ticks, seq)
-		}
-	}
-}
-
-func (f *Follower) keep(offset uint64, raw []byte) {
-	if f.recentFrom+uint64(len(f.recent)) != offset {
-		f.recent = nil
-	}
-	if len(f.recent) == 0 {
-		f.recentFrom = offset
-	}
-	f.recent = append(f.recent, raw)
-	if len(f.recent) > 2*keptRecords {
-		f.recent = append([][]byte(nil), f.recent[keptRecords:]...)
-		f.recentFrom += keptRecords
-	}
-}
-
 // publish replaces the view if a change took effect. The caller holds mu.
 func (f *Follower) publish() {
 	if !f.ledger.Ready() {
@@ -372,147 +267,6 @@
 	}
 }
 
-func (f *Follower) tickLoop(ctx context.Context) {
-	for first := true; first || pause(ctx, tickInterval); first = false {
-		if f.appendsTicks(time.Now()) {
-			f.tick(ctx)
-		}
-	}
-}
-
-// appendsTicks reports whether this instance must prove its view by ticks of its
-// own: it speaks for its data centre, or the speaker's word is late.
-func (f *Follower) appendsTicks(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	age := f.fresh.ProofAge(now)
-	return f.roster.Speaks(now) || age < 0 || age > relayStale
-}
-
-func (f *Follower) tick(ctx context.Context) {
-	f.mu.Lock()
-	f.tickSeq++
-	seq := f.tickSeq
-	f.ticks[seq] = time.Now()
-	for old := range f.ticks {
-		if old+10 < seq {
-			delete(f.ticks, old)
-		}
-	}
-	f.mu.Unlock()
-	raw, err := codec.Changes.Encode(change.Tick{Issuer: f.tickID, Seq: seq})
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	_, _ = f.Log.Append(ctx, raw)
-}
-
-func (f *Follower) heartbeatLoop(ctx context.Context) {
-	for n := 0; pause(ctx, f.heartbeatPause(time.Now())); n++ {
-		for _, m := range f.heard(time.Now(), n) {
-			go f.heartbeat(ctx, m)
-		}
-	}
-}
-
-// heard returns the members for the n-th round of heartbeats: those of the data
-// centre, and for its speaker now and then those of the other ones.
-func (f *Follower) heard(now time.Time, n int) []roster.Member {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	members := f.roster.Local()
-	doubt := f.fresh.Doubtful(now, f.roster.Scope(now))
-	if (f.roster.Speaks(now) || doubt) && (doubt || n%remoteEvery == 0) {
-		members = append(members, f.roster.Speakers(now)...)
-	}
-	return members
-}
-
-func (f *Follower) heartbeatPause(now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.fresh.Doubtful(now, f.roster.Scope(now)) {
-		return doubtInterval
-	}
-	return heartbeatInterval
-}
-
-func (f *Follower) heartbeat(ctx context.Context, m roster.Member) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
-	defer cancel()
-	sent := time.Now()
-	rep, err := mesh.Ask[message.Report](ctx, f.Mesh, m, message.Heartbeat{})
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			f.roster.Gone(now, m.Name)
-		} else {
-			f.roster.Failed(now, m.Name)
-		}
-		return
-	}
-	f.roster.Answered(m.Name)
-	f.fresh.Hear(sent, m.Name, rep.Report, f.ledger.Next())
-	if rep.Next > f.ledger.Next() && !f.fetching {
-		f.fetching = true
-		go f.fetch(m)
-	}
-}
-
-// fetch brings the configuration from a peer that has read further.
-func (f *Follower) fetch(m roster.Member) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	f.mu.Lock()
-	from := f.ledger.Next()
-	if !f.ledger.Ready() {
-		from = 0
-	}
-	f.mu.Unlock()
-	answer, err := f.Mesh.Call(ctx, m, message.Fetch{From: from})
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.fetching = false
-	if err != nil {
-		return
-	}
-	switch a := answer.(type) {
-	case message.Records:
-		for i, raw := range a.Raw {
-			if err := f.apply(a.From+uint64(i), raw); err != nil {
-				return
-			}
-		}
-	case message.Copy:
-		if f.ledger.Restore(a.Snapshot) {
-			f.recent = nil
-		}
-	}
-	f.publish()
-}
-
-func (f *Follower) listLoop(ctx context.Context) {
-	for first := true; first || pause(ctx, listInterval); first = false {
-		f.readList(ctx)
-	}
-}
-
-func (f *Follower) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	members, err := f.List.Read(ctx)
-	if err != nil {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.roster.List(members)
-}
-
 func (f *Follower) judgeLoop(ctx context.Context) {
 	for pause(ctx, judgeInterval) {
 		f.mu.Lock()
@@ -531,35 +285,3 @@
 		f.lastVerdict = v
 	}
 }
-
-// snapshotLoop writes what is in force again before its records expire. One
-// instance does so at a quarter of the retention; any reader does at a half.
-func (f *Follower) snapshotLoop(ctx context.Context) {
-	for pause(ctx, listInterval) {
-		f.mu.Lock()
-		now := time.Now()
-		age := now.Sub(f.lastSnap)
-		owner, _ := roster.Owner("config-snapshot", f.roster.Live(now))
-		mine := owner.Name == f.Self.Name
-		known := f.retention > 0 && f.ledger.Ready() && f.ledger.Next() > 0
-		due := mine && (age > f.retention/4 || f.ledger.SinceSnapshot() > snapshotRecords)
-		late := age > f.retention/2 && f.roster.IsReader(now)
-		snap := f.ledger.Snapshot()
-		f.mu.Unlock()
-		if known && (due || late) {
-			f.writeSnapshot(ctx, snap)
-		}
-	}
-}
-
-func (f *Follower) writeSnapshot(ctx context.Context, snap change.Snapshot) {
-	raw, err := codec.Changes.Encode(snap)
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	if _, err := f.Log.Append(ctx, raw); err == nil {
-		_ = f.Logger.Log("msg", "Wrote a snapshot of the configuration.", "next", snap.Next)
-	}
-}
--- a/entry/gate/chat.go
+++ b/entry/gate/chat.go
@@ -148,7 +148,7 @@
 	}
 	now := time.Now()
 	counts := make([]int, len(versions))
-	for _, u := range run.view.Upstreams(run.work) {
+	for _, u := range g.Follow.Upstreams(run.view, run.work) {
 		held := g.Fleet.Status(now, u.Name).Version
 		for i, v := range versions {
 			if held == message.Digest(v) {
--- a/entry/gate/operator.go
+++ b/entry/gate/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -54,7 +55,8 @@
 }
 
 func (g *Gate) decodeOperator(_ context.Context, r *http.Request) (any, error) {
-	if r.Header.Get("Authorization") != "Bearer "+g.Settings.OperatorToken {
+	want := "Bearer " + g.Settings.OperatorToken
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
 		return nil, refuse("", http.StatusUnauthorized, "operator-unknown", "the operator token is wrong")
 	}
 	return r, nil
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -266,7 +266,7 @@
 // candidates lists the upstreams, least loaded first.
 func (r *serviceRun) candidates(v *view.View) []upstream.Upstream {
 	now := time.Now()
-	all := v.Upstreams(r.work)
+	all := r.gate.Follow.Upstreams(v, r.work)
 	load := map[string]float64{}
 	open := all[:0:0]
 	for _, u := range all {
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -179,7 +179,7 @@
 func (g *Gate) rank(ctx context.Context, run *chatRun) (choices []placement.Choice, untried int) {
 	now := time.Now()
 	var all []placement.Candidate
-	for _, u := range run.view.Upstreams(run.work) {
+	for _, u := range g.Follow.Upstreams(run.view, run.work) {
 		st := g.Fleet.Status(now, u.Name)
 		if run.tried[u.Name] {
 			continue
@@ -273,9 +273,8 @@
 		if !g.Follow.MayTakeWork(now) {
 			return errors.New("the configuration is no longer known to be current")
 		}
-		v := g.Follow.View()
-		if _, ok := v.Upstream(u.Name); !ok || !v.Open(u) {
-			return errors.New("the upstream was drained")
+		if !g.Follow.Open(u.Name) {
+			return errors.New("the upstream is drained or leaving")
 		}
 		return nil
 	}
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -25,7 +25,10 @@
 	faults  fault.Switch[Faults]
 	mu      sync.Mutex
 	members map[string]roster.Member
+	// leaving names the upstreams that are leaving.
+	leaving map[string]bool
 	shown   []roster.Member
+	away    []instances.Upstream
 	changed time.Time
 	dirty   bool
 }
@@ -47,6 +50,9 @@
 	mux.HandleFunc("GET /v1/instances", l.read)
 	mux.HandleFunc("PUT /stand-in/instances/{name}", l.put)
 	mux.HandleFunc("DELETE /stand-in/instances/{name}", l.remove)
+	mux.HandleFunc("PUT /stand-in/leaving/{upstream}", func(_ http.ResponseWriter, r *http.Request) {
+		l.change(func() { l.leaving[r.PathValue("upstream")] = true })
+	})
 	mux.Handle(fault.Path, &l.faults)
 	return mux
 }
@@ -60,9 +66,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dirty && time.Since(l.changed) >= time.Duration(f.LagMillis)*time.Millisecond {
-		l.shown, l.dirty = l.sorted(), false
+		l.shown, l.away, l.dirty = l.sorted(), l.sortedLeaving(), false
 	}
-	fault.WriteJSON(w, instances.Answer{Instances: l.shown})
+	fault.WriteJSON(w, instances.Answer{Instances: l.shown, Upstreams: l.away})
 }
 
 func (l *List) put(w http.ResponseWriter, r *http.Request) {
@@ -84,10 +90,22 @@
 	if l.members == nil {
 		l.members = map[string]roster.Member{}
 	}
+	if l.leaving == nil {
+		l.leaving = map[string]bool{}
+	}
 	do()
 	l.changed, l.dirty = time.Now(), true
 }
 
+func (l *List) sortedLeaving() []instances.Upstream {
+	var all []instances.Upstream
+	for name := range l.leaving {
+		all = append(all, instances.Upstream{Name: name, Leaving: true})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
 func (l *List) sorted() []roster.Member {
 	all := make([]roster.Member, 0, len(l.members))
 	for _, m := range l.members {
