Begin an attempt right before its first write on engine connections too

Cause: reading the code showed that a request to an engine was marked as written when a connection was there, and that cancelling it then does not keep the transport from writing: a request that the last check had stopped could still go out, and be called not-run. An error answer without a statement of the engine (a 500) also counted as not run. Change: entry/guard binds each connection, new or kept, to the attempt whose request it carries and asks it in Write; a connection without one writes nothing. Engines and plain services use the same guard. An engine's error without X-Run: not-run is unknown. Conclusion: not-run is now said on one condition for both kinds of upstream.

--- a/entry/engineclient/engineclient.go
+++ b/entry/engineclient/engineclient.go
@@ -10,19 +10,24 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
 
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/upstream"
+	"crocusfold.dev/entry/guard"
 )
 
 // Errors of a stream.
 var (
-	// ErrRefused means that the engine did not take the request.
+	// ErrRefused means that the engine provably did not run the request.
 	ErrRefused = errors.New("the engine refused the request")
+	// ErrFailed means that the engine answered with an error and may have run
+	// the request.
+	ErrFailed = errors.New("the engine failed")
+	// ErrStopped means that the last check before the write stopped the request.
+	ErrStopped = errors.New("the request was stopped before it was sent")
 	// ErrUnreachable means that there was no connection; nothing was written.
 	ErrUnreachable = errors.New("the engine can't be reached")
 	// ErrBroken means that the stream ended without its end marker.
@@ -72,22 +77,16 @@
 	stall       *time.Timer
 }
 
-// Client opens streams. HTTP must be set.
+// Client opens streams. HTTP must be set, with a transport from guard.Transport.
 type Client struct {
 	HTTP *http.Client
 }
 
-// Open sends a request. The attempt is marked as written once there is a
-// connection to write to, which is never later than the first write.
+// Open sends a request. The attempt begins right before the first write.
 func (c *Client) Open(ctx context.Context, att *attempt.Attempt, u upstream.Upstream, r Request) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stall := time.AfterFunc(r.FirstLimit, func() { cancel(ErrStalled) })
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		if err := att.Begin(time.Now()); err != nil {
-			cancel(err)
-		}
-	}}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), u, r)
+	req, err := newRequest(guard.With(ctx, att), u, r)
 	if err != nil {
 		stall.Stop()
 		cancel(nil)
@@ -97,6 +96,9 @@
 	if err != nil {
 		defer cancel(nil)
 		defer stall.Stop()
+		if errors.Is(err, attempt.ErrRevoked) || errors.Is(err, attempt.ErrDeadline) {
+			return nil, fmt.Errorf("%w: %w", ErrStopped, err)
+		}
 		if att.Run() == attempt.NotRun {
 			return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
@@ -142,11 +144,13 @@
 
 func check(resp *http.Response, att *attempt.Attempt, r Request) error {
 	if resp.StatusCode != http.StatusOK {
+		kind := ErrFailed
 		if resp.Header.Get("X-Run") == string(attempt.NotRun) {
 			att.Refused()
+			kind = ErrRefused
 		}
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-		return fmt.Errorf("%w: status %d: %s", ErrRefused, resp.StatusCode, strings.TrimSpace(string(text)))
+		return fmt.Errorf("%w: status %d: %s", kind, resp.StatusCode, strings.TrimSpace(string(text)))
 	}
 	if resp.Header.Get("X-Request-Id") != r.ID || resp.Header.Get("X-Attempt") != strconv.Itoa(r.Attempt) {
 		return ErrCrossed
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sort"
 	"time"
@@ -20,6 +19,7 @@
 	"crocusfold.dev/core/upstream"
 	"crocusfold.dev/core/work"
 	"crocusfold.dev/entry/explain"
+	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
 )
@@ -301,14 +301,8 @@
 // send makes one call on a connection of its own. Its first write is where
 // "not run" stops being true, so that is where the attempt begins.
 func (r *serviceRun) send(ctx context.Context, u upstream.Upstream, att *attempt.Attempt) (serviceAnswer, error) {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := r.gate.Network.Dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{Conn: conn, att: att}, nil
-	}}
-	req, err := r.request(ctx, u)
+	transport := guard.Transport(&http.Transport{DisableKeepAlives: true, DialContext: r.gate.Network.Dial})
+	req, err := r.request(guard.With(ctx, att), u)
 	if err != nil {
 		return serviceAnswer{}, err
 	}
@@ -367,16 +361,3 @@
 	att.Answered()
 	return serviceAnswer{r.call.id, order.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, false}, nil
 }
-
-// guardedConn lets the first write through only if the attempt may begin.
-type guardedConn struct {
-	net.Conn
-	att *attempt.Attempt
-}
-
-func (c *guardedConn) Write(b []byte) (int, error) {
-	if err := c.att.Begin(time.Now()); err != nil {
-		return 0, fmt.Errorf("writing the request: %w", err)
-	}
-	return c.Conn.Write(b)
-}
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -74,7 +74,7 @@
 			continue
 		case errors.Is(err, errNoRoom) || errors.Is(err, errAllTried):
 			return nil, noRoom.state(said)
-		case errors.Is(err, engineclient.ErrUnreachable) || errors.Is(err, engineclient.ErrRefused):
+		case provablyNotRun(err):
 			g.metrics.retries.Inc(1)
 		default:
 			said = attempt.Unknown
@@ -87,6 +87,11 @@
 	return nil, noRoom.state(said)
 }
 
+// provablyNotRun reports whether nothing of a failed try was run.
+func provablyNotRun(err error) bool {
+	return errors.Is(err, engineclient.ErrUnreachable) || errors.Is(err, engineclient.ErrRefused) || errors.Is(err, engineclient.ErrStopped)
+}
+
 // Reasons for which no engine was tried.
 var (
 	errNoRoom   = errors.New("no upstream has room")
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -21,6 +21,7 @@
 	"crocusfold.dev/entry/fleet"
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/gate"
+	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/limits"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/strikes"
@@ -58,6 +59,7 @@
 	n := &Node{cfg: cfg, net: net, logger: logger}
 	part := func(name string) log.Logger { return log.With(logger, "part", name) }
 	upstreams := &http.Client{Transport: net.Transport()}
+	engines := &http.Client{Transport: guard.Transport(net.Transport())}
 	platform := &http.Client{Transport: named{cfg.Name, net.Transport()}}
 	self := cfg.Member()
 	n.mesh = &mesh.Mesh{Self: self, Token: cfg.PeerToken, Client: &http.Client{Transport: net.Transport()}}
@@ -79,13 +81,14 @@
 	n.close = func() {
 		n.mesh.Close()
 		upstreams.CloseIdleConnections()
+		engines.CloseIdleConnections()
 		platform.CloseIdleConnections()
 		_ = closer.Close()
 	}
 	n.gate = &gate.Gate{
 		Settings: cfg, Follow: n.follow, Desk: n.desk, Fleet: n.fleet, Limits: n.limits, Strikes: struck,
 		Cache:   &cache.Cache{Client: upstreams, Logger: part("cache")},
-		Engines: &engineclient.Client{HTTP: upstreams},
+		Engines: &engineclient.Client{HTTP: engines},
 		Network: net,
 		Metrics: scope, MetricsPage: reporter.HTTPHandler(), Logger: part("gate"),
 	}
