Let interrupted requests wait for each other and for their engines

Cause: reading the code showed that a request that lost its engine was refused while an equal one was being tried, that an engine that could not be reached counted as tried for good, and that one call to a plain service could use up the whole retry budget. A new case printed 1 x 503 among 8 equal requests whose engines all died at once. Ruled out: running equal suspects side by side, which would let one content take down more than two engines. Change: interrupted requests wait for the lock; a try that reached nobody is taken back; a call to a plain service is tried at most four times. Conclusion: an interruption alone no longer ends a request that has time.

--- a/entry/gate/chat.go
+++ b/entry/gate/chat.go
@@ -76,7 +76,11 @@
 	deadline time.Time
 	note     explain.Explanation
 	tried    map[string]bool
+	// attempts counts the tries that reached an engine, sends all of them.
 	attempts int
+	sends    int
+	// last is the engine that was tried last.
+	last string
 	// paid is the number of attempts that the retry budget has counted.
 	paid   int
 	unlock func()
--- a/entry/gate/refusal.go
+++ b/entry/gate/refusal.go
@@ -19,8 +19,13 @@
 	retrySpread = 4
 )
 
-// codeNoUpstream is the code of a request that no upstream has room for.
-const codeNoUpstream = "no-upstream"
+// Codes that decide whether a request waits.
+const (
+	// codeNoUpstream is that of a request that no upstream has room for.
+	codeNoUpstream = "no-upstream"
+	// codeSuspectBusy is that of a suspect while an equal one is being tried.
+	codeSuspectBusy = "suspect-busy"
+)
 
 // refusal is the final answer to a request that is given up.
 type refusal struct {
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -197,12 +197,12 @@
 
 // forward sends a call that may be repeated.
 func (r *serviceRun) forward(ctx context.Context) (answer, error) {
-	for {
+	for n := 1; ; n++ {
 		ans, run, err := r.dispatch(ctx)
 		if err == nil {
 			return ans, nil
 		}
-		if run == attempt.NotRun || !safe(r.call.method) || ctx.Err() != nil || !r.gate.budget.Withdraw() {
+		if n == maxAttempts || run == attempt.NotRun || !safe(r.call.method) || ctx.Err() != nil || !r.gate.budget.Withdraw() {
 			return nil, err
 		}
 		r.gate.metrics.retries.Inc(1)
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -57,6 +57,10 @@
 		"no upstream for this work may take more now").retry(retrySoon)
 	for run.attempts < maxAttempts {
 		if err := g.standing(ctx, run); err != nil {
+			// An interrupted request waits for the equal one that is being tried.
+			if err.code == codeSuspectBusy && run.attempts > 0 && g.waitForRoom(ctx, run.call, true) {
+				continue
+			}
 			err.run = said
 			return nil, err
 		}
@@ -74,6 +78,10 @@
 			continue
 		case errors.Is(err, errNoRoom) || errors.Is(err, errAllTried):
 			return nil, noRoom.state(said)
+		case errors.Is(err, engineclient.ErrUnreachable):
+			// It is left out while it is down, and may be tried when it is back.
+			run.forget()
+			g.metrics.retries.Inc(1)
 		case provablyNotRun(err):
 			g.metrics.retries.Inc(1)
 		default:
@@ -87,9 +95,15 @@
 	return nil, noRoom.state(said)
 }
 
+// forget takes back the last attempt, which reached nobody.
+func (r *chatRun) forget() {
+	r.attempts--
+	delete(r.tried, r.last)
+}
+
 // provablyNotRun reports whether nothing of a failed try was run.
 func provablyNotRun(err error) bool {
-	return errors.Is(err, engineclient.ErrUnreachable) || errors.Is(err, engineclient.ErrRefused) || errors.Is(err, engineclient.ErrStopped)
+	return errors.Is(err, engineclient.ErrRefused) || errors.Is(err, engineclient.ErrStopped)
 }
 
 // Reasons for which no engine was tried.
@@ -130,7 +144,7 @@
 		}
 		unlock, ok := g.Strikes.Lock(ctx, run.content, run.call.id)
 		if !ok {
-			return refuse(run.call.id, http.StatusServiceUnavailable, "suspect-busy",
+			return refuse(run.call.id, http.StatusServiceUnavailable, codeSuspectBusy,
 				"an equal request that may crash upstreams is being tried").retry(retryLater)
 		}
 		run.unlock = unlock
@@ -229,7 +243,9 @@
 func (s *source) open(ctx context.Context, resumeFrom int) error {
 	run := s.run
 	run.tried[s.up.Name] = true
+	run.last = s.up.Name
 	run.attempts++
+	run.sends++
 	body, err := run.body(s.choice.Source == placement.Import)
 	if err != nil {
 		s.release()
@@ -241,7 +257,7 @@
 		return err
 	}
 	stream, err := s.gate.Engines.Open(ctx, att, s.up, engineclient.Request{
-		ID: run.call.id, Attempt: run.attempts, Account: run.account.Name, Version: run.version,
+		ID: run.call.id, Attempt: run.sends, Account: run.account.Name, Version: run.version,
 		Priority: run.call.priority, ResumeFrom: resumeFrom, Body: body,
 		FirstLimit: firstLimit + firstFactor*s.choice.Estimate,
 	})
