--- a/entry/follow/heartbeats.go
+++ b/entry/follow/heartbeats.go
@@ -26,7 +26,7 @@
 	defer f.mu.Unlock()
 	members := f.roster.Local()
 	doubt := f.fresh.Doubtful(now, f.roster.Scope(now))
-	if (f.roster.Speaks(now) || doubt) && (doubt || n%remoteEvery == 0) {
+	if f.roster.Speaks(now) && (doubt || n%remoteEvery == 0) {
 		members = append(members, f.roster.Speakers(now)...)
 	}
 	return members
