--- a/cmd/cases_test.go
+++ b/cmd/cases_test.go
@@ -17,7 +17,7 @@
 var update = flag.Bool("update", false, "write the expected output anew")
 
 // binaries builds the programs into a directory and returns it.
-func binaries(t *testing.T) string {
+func binaries(t testing.TB) string {
 	t.Helper()
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir, "./...")
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -22,7 +22,7 @@
 
 // fleet is the small example as real processes, on loopback addresses of its own.
 type fleet struct {
-	t    *testing.T
+	t    testing.TB
 	bin  string
 	dir  string
 	host string
@@ -38,7 +38,7 @@
 
 // startFleet copies the example to another loopback host, so that it meets no
 // other process, and puts its intent into force.
-func startFleet(t *testing.T, bin string, host string) *fleet {
+func startFleet(t testing.TB, bin string, host string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, bin: bin, dir: t.TempDir(), host: host, run: map[string]*exec.Cmd{}}
 	files, err := filepath.Glob("../examples/small/*.yaml")
