--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -45,6 +45,7 @@
 		http.Error(w, "the request can't be read", http.StatusBadRequest)
 		return
 	}
+	e.yieldToInteractive(r)
 	life, _ := e.enter()
 	defer e.leave(life)
 	w.Header().Set("X-Incarnation", e.currentIncarnation())
--- a/standin/engine/context.go
+++ b/standin/engine/context.go
@@ -117,7 +117,7 @@
 	if n := len(e.events); n > 0 {
 		seq = e.events[n-1].Seq + 1
 	}
-	e.events = append(e.events, Event{seq, kind, key})
+	e.events = append(e.events, Event{seq, kind, key, time.Now()})
 	if len(e.events) > maxEvents {
 		e.events = e.events[len(e.events)-maxEvents/2:]
 	}
@@ -129,12 +129,13 @@
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	e.alive()
 	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-	gap := e.faults.Get().EventGap
+	f := e.faults.Get()
+	until := time.Now().Add(-time.Duration(f.EventLagMillis) * time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := []Event{}
 	for _, ev := range e.events {
-		if ev.Seq >= from && (!gap || ev.Seq%2 == 0) {
+		if ev.Seq >= from && !ev.at.After(until) && (!f.EventGap || ev.Seq%2 == 0) {
 			out = append(out, ev)
 		}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -26,6 +26,8 @@
 	SilentEnd int `json:"silent-end,omitempty"`
 	// LoadLagMillis delays load reports.
 	LoadLagMillis int `json:"load-lag-millis,omitempty"`
+	// EventLagMillis delays cache events.
+	EventLagMillis int `json:"event-lag-millis,omitempty"`
 	// EventGap drops every second cache event.
 	EventGap bool `json:"event-gap,omitempty"`
 	// Crossed gives the answer, and the id, of another request.
@@ -84,6 +86,7 @@
 	Seq  uint64    `json:"seq"`
 	Kind string    `json:"kind"`
 	Key  block.Key `json:"key"`
+	at   time.Time
 }
 
 type loadReport struct {
@@ -196,6 +199,22 @@
 	})
 }
 
+// queuePause is how often a waiting request looks for room.
+const queuePause = 5 * time.Millisecond
+
+// yieldToInteractive lets batch work wait while the batch is full.
+func (e *Engine) yieldToInteractive(r *http.Request) {
+	for r.Header.Get("X-Priority") == "batch" && r.Context().Err() == nil {
+		e.mu.Lock()
+		full := e.running >= e.Timing.WarmLimit
+		e.mu.Unlock()
+		if !full {
+			return
+		}
+		time.Sleep(queuePause)
+	}
+}
+
 // enter counts a request in. A cold engine that gets more than it bears dies.
 func (e *Engine) enter() (life context.Context, cold bool) {
 	e.mu.Lock()
