--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -279,6 +279,10 @@
 // reports behind it are renewed. The caller holds mu.
 func (f *Follower) judge(now time.Time) {
 	j := f.fresh.Judge(now, f.roster.Scope(now))
+	if !f.ledger.Ready() {
+		// The view is older than the ledger, which waits for a snapshot.
+		j = freshness.Judgement{}
+	}
 	f.judgement.Store(&j)
 	if v := j.Verdict(now); v != f.lastVerdict {
 		_ = f.Logger.Log("msg", "The trust in the configuration changed.", "from", f.lastVerdict, "to", v)
