Keep nothing of orders that were refused in an outage of the log

Cause: reading the code showed that each order refused while the log was down left a release record behind, though its claim was never written, and that reports were queued without a bound: an hour of 245 orders a second would have kept 880,000 records, and the first claims after it would have waited behind them. Ruled out: a smaller bound alone, since the first claims would still wait. Change: a claim that the log refused is not released, only one whose append got no answer; the entry no longer reports it a second time; reports are bounded. Conclusion: memory is bounded through an outage.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -61,6 +61,8 @@
 	deadline time.Time
 	// giveUp is when a request whose claim is not in the log is refused.
 	giveUp time.Time
+	// maybe is true if the claim may be in the log although nobody has read it.
+	maybe bool
 }
 
 // Next is the offset of the first record that the register has not read.
@@ -137,6 +139,9 @@
 	if c, ok := r.claims[e.Key]; ok && c.done && c.holder == e.Claim {
 		return reply(e.Claim, Recorded, Answer{})
 	}
+	if len(r.queue) >= maxQueue {
+		return reply(e.Claim, Full, Answer{})
+	}
 	if !r.reporting[e.Claim] {
 		r.reporting[e.Claim] = true
 		r.queue = append(r.queue, Settled(e))
@@ -161,6 +166,7 @@
 	for _, ws := range r.waiting {
 		for i := range ws {
 			ws[i].giveUp = now.Add(readWait)
+			ws[i].maybe = true
 		}
 	}
 	return nil
@@ -185,7 +191,12 @@
 			continue
 		}
 		for _, w := range ws {
-			acts = append(acts, r.refuse(key, w)...)
+			if w.maybe {
+				acts = append(acts, r.refuse(key, w)...)
+				continue
+			}
+			// Its claim was refused by the log or never sent.
+			acts = append(acts, reply(w.claim, LogUnavailable, Answer{})...)
 		}
 		delete(r.waiting, key)
 	}
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -137,8 +137,7 @@
 	case order.Full:
 		return nil, refuse(r.call.id, http.StatusServiceUnavailable, "orders-full", "too many orders are open").retry(retryLater)
 	default:
-		// The claim may get into the log later; releasing it frees the key.
-		r.gate.Desk.Settle(message.OrderEnd{Key: ask.Key, Claim: ask.Claim, NotRun: true})
+		// The register itself releases a claim that may still get into the log.
 		return nil, refuse(r.call.id, http.StatusServiceUnavailable, "log-unavailable",
 			"the order can't be recorded now, so it was not run").retry(retryLater)
 	}
