Tell when to come back with each answer that gives a request up

Cause: a passed deadline and an answer that did not arrive came without Retry-After; asking again with the same key finds out what became of an order. Change: both carry it. Ruled out: Retry-After on answers for which coming back is of no use, such as a key that is too old or a content that crashes upstreams. Conclusion: every refusal that may end otherwise later says when to ask.

--- a/entry/gate/chatanswer.go
+++ b/entry/gate/chatanswer.go
@@ -95,10 +95,10 @@
 func (a *chatAnswer) giveUp(err error) *refusal {
 	var r *refusal
 	if !errors.As(err, &r) {
-		r = refuse(a.run.call.id, http.StatusBadGateway, "upstream-failed", err.Error()).state(attempt.Unknown)
+		r = refuse(a.run.call.id, http.StatusBadGateway, "upstream-failed", err.Error()).state(attempt.Unknown).retry(retrySoon)
 	}
 	if a.ctx.Err() != nil && r.status != http.StatusUnprocessableEntity {
-		r = refuse(a.run.call.id, http.StatusGatewayTimeout, "deadline", "the request's time is over").state(r.run)
+		r = refuse(a.run.call.id, http.StatusGatewayTimeout, "deadline", "the request's time is over").state(r.run).retry(retrySoon)
 	}
 	a.ended = true
 	a.run.note.Outcome, a.run.note.Run = r.code, string(r.run)
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -248,7 +248,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return serviceAnswer{}, attempt.NotRun, refuse(r.call.id, http.StatusGatewayTimeout, "deadline", "the request's time is over")
+		return serviceAnswer{}, attempt.NotRun, refuse(r.call.id, http.StatusGatewayTimeout, "deadline", "the request's time is over").retry(retrySoon)
 	}
 	return serviceAnswer{}, attempt.NotRun, refuse(r.call.id, http.StatusServiceUnavailable, codeNoUpstream,
 		"no upstream for this work may take more now").retry(retrySoon)
@@ -259,7 +259,7 @@
 	if ctx.Err() != nil {
 		status = http.StatusGatewayTimeout
 	}
-	return refuse(r.call.id, status, code, "the upstream was sent the request and its answer did not arrive: "+err.Error()).state(attempt.Unknown)
+	return refuse(r.call.id, status, code, "the upstream was sent the request and its answer did not arrive: "+err.Error()).state(attempt.Unknown).retry(retryLater)
 }
 
 // candidates lists the upstreams, least loaded first.
