Let no write to an engine follow what is said of the request

Cause: reading the change once more showed that a request to an engine that was cancelled while its connection was being opened was said not to have run, while the transport could still write it; plain services already forbade that. Ruled out: waiting for the transport to end, which would hold the answer back. Change: a failed Open revokes the attempt before it says what ran. Conclusion: both kinds of upstream now say not-run only once no write can follow.

--- a/entry/engineclient/engineclient.go
+++ b/entry/engineclient/engineclient.go
@@ -96,6 +96,9 @@
 	if err != nil {
 		defer cancel(nil)
 		defer stall.Stop()
+		// The transport may still be about to write; no write may follow what is
+		// said of the request from here on.
+		att.Revoke()
 		if errors.Is(err, attempt.ErrRevoked) || errors.Is(err, attempt.ErrDeadline) {
 			return nil, fmt.Errorf("%w: %w", ErrStopped, err)
 		}
--- a/entry/engineclient/engineclient_test.go
+++ b/entry/engineclient/engineclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -84,3 +85,27 @@
 	is.True(errors.Is(err, ErrUnreachable))
 	is.Equal(att.Run(), attempt.NotRun)
 }
+
+// TestNothingIsWrittenAfterNotRun cancels a request while its connection is
+// being opened. Once it is said not to have run, no write may begin.
+func TestNothingIsWrittenAfterNotRun(t *testing.T) {
+	is := is.New(t)
+	dialing, goOn := make(chan struct{}), make(chan struct{})
+	net := network.Network{DialTo: func(ctx context.Context, _ string) (net.Conn, error) {
+		close(dialing)
+		<-goOn
+		return nil, errors.New("too late")
+	}}
+	defer close(goOn)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-dialing
+		cancel()
+	}()
+	att := &attempt.Attempt{}
+	u := upstream.Upstream{Name: "u", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	_, err := (&Client{HTTP: &http.Client{Transport: guard.Transport(net.Transport())}}).Open(ctx, att, u, Request{ID: "x", FirstLimit: time.Minute})
+	is.True(errors.Is(err, ErrUnreachable))
+	is.Equal(att.Run(), attempt.NotRun)
+	is.True(errors.Is(att.Begin(time.Now()), attempt.ErrRevoked)) // a late write is stopped
+}
