Bound the tokens of an account while its owner changes

Cause: a new owner that does not know yet what the one before it handed out gave a share of tokens for every question, past its own bucket, so an instance that asked often got the rate many times over for a second. Ruled out: giving none, which would refuse the account for that second. Change: the shares come out of the bucket, which starts half full.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -70,14 +70,18 @@
 // Grant hands out tokens and replaces the instance's lease of slots, as far as
 // the other leases have left any.
 func (q *Quota) Grant(now time.Time, member string, members int, limit Limit, want Want) Lease {
+	unsure := now.Before(q.NotBefore)
+	share := Share(limit, members)
+	if unsure {
+		want.Tokens = min(want.Tokens, share.Tokens)
+		q.bucket.halve(limit.Burst)
+	}
 	got := Lease{Tokens: want.Tokens}
 	if limit.Rate > 0 {
 		got.Tokens, got.Wait = q.bucket.Take(now, limit.Rate, limit.Burst, want.Tokens)
 	}
 	got.Slots = q.slots(now, member, limit, want)
-	if now.Before(q.NotBefore) {
-		share := Share(limit, members)
-		got.Tokens = min(want.Tokens, share.Tokens)
+	if unsure {
 		got.Slots = min(want.Slots, share.Slots)
 	}
 	got.Slots = max(got.Slots, want.Held)
@@ -110,6 +114,14 @@
 	last time.Time
 }
 
+// halve makes a bucket that nothing was taken from half full, since a former
+// owner may have handed out the rest.
+func (b *Bucket) halve(burst float64) {
+	if b.last.IsZero() {
+		b.used = burst / 2
+	}
+}
+
 // Take takes up to n tokens. If there is none, it returns how long until one.
 func (b *Bucket) Take(now time.Time, rate, burst float64, n int) (int, time.Duration) {
 	if !b.last.IsZero() {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -30,3 +30,19 @@
 		}
 	})
 }
+
+// TestNewOwnerBoundsTokens asks a new owner again and again before it knows what
+// the one before it handed out. All it gives must stay within half a burst and
+// the rate.
+func TestNewOwnerBoundsTokens(t *testing.T) {
+	start := time.Unix(1000, 0)
+	q := &Quota{NotBefore: start.Add(time.Second)}
+	total := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		total += q.Grant(now, "a", 3, Limit{Rate: 10, Burst: 20}, Want{Tokens: 5, Slots: 1}).Tokens
+	}
+	if most := 20/2 + 10; total > most {
+		t.Errorf("%d tokens in the first second, more than %d", total, most)
+	}
+}
