Move the product's own clients and codecs from platform/ to shell/

Cause: platform/ is to hold the adapter to the users' platform alone, but it held the product's settings reader, peers, codec and log clients. Ruled out: leaving them and naming the adapter otherwise; the users ask for the folder by that name. Change: the module is crocusfold.dev/shell; only import paths differ.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands for building, trying and testing crocusfold.
 
-MODULES := core platform entry operator standin measure cmd proof script
+MODULES := core shell platform entry operator standin measure cmd proof script
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 STATICCHECK := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
--- a/cmd/crocus-entry/main.go
+++ b/cmd/crocus-entry/main.go
@@ -10,7 +10,7 @@
 	"crocusfold.dev/cmd/internal/daemon"
 	"crocusfold.dev/entry/config"
 	"crocusfold.dev/entry/node"
-	"crocusfold.dev/platform/network"
+	"crocusfold.dev/shell/network"
 )
 
 const usage = `An entry instance of crocusfold. It serves callers over HTTP, routes
--- a/cmd/crocus-standin/main.go
+++ b/cmd/crocus-standin/main.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 
 	"crocusfold.dev/cmd/internal/daemon"
-	"crocusfold.dev/platform/network"
-	"crocusfold.dev/platform/settings"
+	"crocusfold.dev/shell/network"
+	"crocusfold.dev/shell/settings"
 	"crocusfold.dev/standin/stage"
 )
 
--- a/entry/cache/cache.go
+++ b/entry/cache/cache.go
@@ -15,7 +15,7 @@
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/store"
 	"crocusfold.dev/core/upstream"
-	"crocusfold.dev/platform/jsoncall"
+	"crocusfold.dev/shell/jsoncall"
 )
 
 // Limits on the use of stores and links.
--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"crocusfold.dev/core/roster"
-	"crocusfold.dev/platform/settings"
+	"crocusfold.dev/shell/settings"
 )
 
 // Settings are read from a YAML file when the instance starts.
--- a/entry/desk/desk.go
+++ b/entry/desk/desk.go
@@ -18,7 +18,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/shell/logstream"
 )
 
 // Limits of a claim's way to the log.
--- a/entry/desk/runner.go
+++ b/entry/desk/runner.go
@@ -9,8 +9,8 @@
 	"github.com/go-kit/log"
 
 	"crocusfold.dev/core/order"
-	"crocusfold.dev/platform/codec"
-	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/shell/codec"
+	"crocusfold.dev/shell/logstream"
 )
 
 // Times of a runner.
--- a/entry/engineclient/engineclient_test.go
+++ b/entry/engineclient/engineclient_test.go
@@ -18,7 +18,7 @@
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/upstream"
 	"crocusfold.dev/entry/guard"
-	"crocusfold.dev/platform/network"
+	"crocusfold.dev/shell/network"
 )
 
 // TestStatements checks, for answers of an engine, the error and what may be
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -21,7 +21,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/platform/jsoncall"
+	"crocusfold.dev/shell/jsoncall"
 )
 
 // Times of the fleet.
--- a/entry/fleet/weights.go
+++ b/entry/fleet/weights.go
@@ -10,7 +10,7 @@
 	"crocusfold.dev/core/weights"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/platform/jsoncall"
+	"crocusfold.dev/shell/jsoncall"
 )
 
 // Times of loading weights.
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -20,8 +20,8 @@
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
-	"crocusfold.dev/platform/instances"
-	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/shell/instances"
+	"crocusfold.dev/shell/logstream"
 )
 
 // Intervals and limits of the background work.
--- a/entry/follow/reading.go
+++ b/entry/follow/reading.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"crocusfold.dev/core/change"
-	"crocusfold.dev/platform/codec"
+	"crocusfold.dev/shell/codec"
 )
 
 // readsLog reports whether this instance must read the log itself: it is one
--- a/entry/follow/snapshots.go
+++ b/entry/follow/snapshots.go
@@ -6,7 +6,7 @@
 
 	"crocusfold.dev/core/change"
 	"crocusfold.dev/core/roster"
-	"crocusfold.dev/platform/codec"
+	"crocusfold.dev/shell/codec"
 )
 
 // snapshotLoop writes what is in force again before its records expire. One
--- a/entry/follow/submit.go
+++ b/entry/follow/submit.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"crocusfold.dev/core/change"
-	"crocusfold.dev/platform/codec"
-	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/shell/codec"
+	"crocusfold.dev/shell/logstream"
 )
 
 // ErrNotKnown means that a change may or may not take effect; submitting it
--- a/entry/follow/ticks.go
+++ b/entry/follow/ticks.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"crocusfold.dev/core/change"
-	"crocusfold.dev/platform/codec"
+	"crocusfold.dev/shell/codec"
 )
 
 func (f *Follower) tickLoop(ctx context.Context) {
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -23,7 +23,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/limits"
 	"crocusfold.dev/entry/strikes"
-	"crocusfold.dev/platform/network"
+	"crocusfold.dev/shell/network"
 )
 
 // Gate answers requests. The exported fields must be set before Handler.
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -10,7 +10,7 @@
 
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/platform/peer"
+	"crocusfold.dev/shell/peer"
 )
 
 // Handler answers a message; ok is false if the message is not its concern.
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -12,7 +12,7 @@
 	"crocusfold.dev/core/order"
 	"crocusfold.dev/core/quota"
 	"crocusfold.dev/core/suspect"
-	"crocusfold.dev/platform/codec"
+	"crocusfold.dev/shell/codec"
 )
 
 // Message is one of the types below. Requests name the type of their answer.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -25,10 +25,10 @@
 	"crocusfold.dev/entry/limits"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/strikes"
-	"crocusfold.dev/platform/instances"
-	"crocusfold.dev/platform/logstream"
-	"crocusfold.dev/platform/network"
-	"crocusfold.dev/platform/peer"
+	"crocusfold.dev/shell/instances"
+	"crocusfold.dev/shell/logstream"
+	"crocusfold.dev/shell/network"
+	"crocusfold.dev/shell/peer"
 )
 
 // configStream is the log stream of the configuration.
--- a/measure/probe/probe.go
+++ b/measure/probe/probe.go
@@ -26,8 +26,8 @@
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/view"
 	"crocusfold.dev/measure/slope"
-	"crocusfold.dev/platform/codec"
-	"crocusfold.dev/platform/peer"
+	"crocusfold.dev/shell/codec"
+	"crocusfold.dev/shell/peer"
 )
 
 // Probe is one measurement.
--- a/operator/console/console.go
+++ b/operator/console/console.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"crocusfold.dev/platform/settings"
+	"crocusfold.dev/shell/settings"
 )
 
 // Limits of one call; a confirmation waits for its rollout.
--- a/operator/verb/check.go
+++ b/operator/verb/check.go
@@ -6,7 +6,7 @@
 
 	"crocusfold.dev/core/intent"
 	"crocusfold.dev/entry/config"
-	"crocusfold.dev/platform/settings"
+	"crocusfold.dev/shell/settings"
 )
 
 const checkUsage = `Checks files without calling any instance. Each fault is shown
--- a/platform/instances/instances.go
+++ b/shell/instances/instances.go
@@ -8,7 +8,7 @@
 	"net/netip"
 
 	"crocusfold.dev/core/roster"
-	"crocusfold.dev/platform/jsoncall"
+	"crocusfold.dev/shell/jsoncall"
 )
 
 // List is the client of the list of instances.
--- a/platform/logstream/logstream.go
+++ b/shell/logstream/logstream.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"crocusfold.dev/platform/jsoncall"
+	"crocusfold.dev/shell/jsoncall"
 )
 
 // Errors of the log service.
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"crocusfold.dev/core/roster"
-	"crocusfold.dev/platform/instances"
+	"crocusfold.dev/shell/instances"
 	"crocusfold.dev/standin/fault"
 )
 
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"crocusfold.dev/platform/logstream"
+	"crocusfold.dev/shell/logstream"
 	"crocusfold.dev/standin/fault"
 )
 
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -11,7 +11,7 @@
 	"sync"
 	"syscall"
 
-	"crocusfold.dev/platform/network"
+	"crocusfold.dev/shell/network"
 )
 
 // Net holds the listeners and cuts. The zero value is an empty network. It is
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"crocusfold.dev/core/roster"
-	"crocusfold.dev/platform/network"
+	"crocusfold.dev/shell/network"
 	"crocusfold.dev/standin/engine"
 	"crocusfold.dev/standin/instancelist"
 	"crocusfold.dev/standin/kvstore"
