--- /dev/null
+++ b/cmd/crocus-edge/main.go
@@ -0,0 +1,51 @@
+// Command crocus-edge is the entry instance on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/cmd/internal/daemon"
+	"crocusfold.dev/entry/edge"
+	"crocusfold.dev/platform"
+	"crocusfold.dev/shell/network"
+)
+
+const usage = `An entry instance of crocusfold on the users' platform. It serves callers,
+routes their requests to replicas and stores, and follows the operators'
+configuration from the platform's log.
+
+  CROCUSFOLD_CONFIG=boot.json crocus-edge
+
+The variable names the platform's settings file; --settings overrides it.
+SIGTERM stops the instance gracefully.`
+
+// heapGrowth is the growth of the heap, in percent, at which garbage is
+// collected. Memory is dearer than processor time on small instances.
+const heapGrowth = 50
+
+func main() {
+	debug.SetGCPercent(heapGrowth)
+	d := daemon.Daemon{Name: "crocus-edge", Usage: usage, Load: load, SettingsVariable: platform.SettingsVariable}
+	os.Exit(d.Main(os.Args[1:]))
+}
+
+func load(file string, logger log.Logger) (func(context.Context) error, error) {
+	cfg, err := platform.LoadSettings(file)
+	if err != nil {
+		return nil, fmt.Errorf("loading the settings: %w", err)
+	}
+	net := network.Network{}
+	client := &http.Client{Transport: net.Transport()}
+	out := edge.Outside{
+		Log:     &platform.Store{Address: cfg.Store, Client: client},
+		Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
+		Control: platform.Control{Client: client}, ReadyPath: platform.ReadyPath,
+	}
+	return edge.NewEdge(cfg.Settings, out, net, log.With(logger, "instance", cfg.Name)).Run, nil
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -24,12 +24,15 @@
 type Daemon struct {
 	Name  string
 	Usage string
+	// SettingsVariable is an environment variable with the path of the settings
+	// file, for when the option is not given. Empty means that there is none.
+	SettingsVariable string
 	// Load checks the settings file and returns what runs until ctx ends.
 	Load func(file string, logger log.Logger) (func(ctx context.Context) error, error)
 }
 
 type options struct {
-	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"the settings file"`
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"the settings file"`
 }
 
 // Main runs the program and returns its exit code. A fault in the settings
@@ -49,6 +52,12 @@
 		}
 		return d.fail(err, exitUsage)
 	}
+	if opts.Settings == "" && d.SettingsVariable != "" {
+		opts.Settings = os.Getenv(d.SettingsVariable)
+	}
+	if opts.Settings == "" {
+		return d.fail(errors.New("the required flag `-s, --settings' was not specified"), exitUsage)
+	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	run, err := d.Load(opts.Settings, logger)
--- /dev/null
+++ b/core/directory/directory.go
@@ -0,0 +1,292 @@
+// Package directory knows which parts of prompts lie whole in which store, from
+// the stores' events and lists, and chooses where a part is saved.
+package directory
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// blockTokens is the unit in which stores give out their space, in tokens.
+const blockTokens = 16
+
+// savingLimit is how long a save that was asked for counts as under way. A save
+// that has not been reported by then is taken as lost.
+const savingLimit = 3 * time.Second
+
+// fullShare is the part of a store's space up to which parts are saved.
+const fullShare = 0.985
+
+// Part is one part of a prompt. Salt separates model versions and isolated accounts.
+type Part struct {
+	Salt, ID string
+}
+
+// Salt names the context of a model version; account is empty unless the account
+// is isolated.
+func Salt(model string, version int, account string) string {
+	return model + "/" + strconv.Itoa(version) + "/" + account
+}
+
+// ParseSalt returns the model and version of a salt.
+func ParseSalt(salt string) (model string, version int, ok bool) {
+	fields := strings.Split(salt, "/")
+	if len(fields) < 3 {
+		return "", 0, false
+	}
+	version, err := strconv.Atoi(fields[1])
+	return fields[0], version, err == nil
+}
+
+// Event is one change of a store's contents.
+type Event struct {
+	Number uint64
+	Part   Part
+	Tokens int
+	// Gone is true if the part was dropped.
+	Gone bool
+}
+
+// Listing is the whole contents of a store.
+type Listing struct {
+	Epoch, Next uint64
+	Held        map[Part]int
+	// Partial holds the parts that are being written or whose writing broke
+	// off, with the space reserved for them.
+	Partial map[Part]int
+}
+
+type shelf struct {
+	capacity int
+	epoch    uint64
+	next     uint64
+	// synced is false until a listing was read after a gap in the events.
+	synced  bool
+	held    map[Part]int
+	saving  map[Part]saving
+	partial int
+	used    int
+}
+
+type saving struct {
+	tokens int
+	until  time.Time
+}
+
+// Directory is the contents of all stores. The zero value knows none. It is not
+// safe for concurrent use.
+type Directory struct {
+	shelves map[string]*shelf
+}
+
+// Configure sets the stores and their space in tokens. Others are forgotten.
+func (d *Directory) Configure(capacities map[string]int) {
+	if d.shelves == nil {
+		d.shelves = map[string]*shelf{}
+	}
+	for name := range d.shelves {
+		if _, ok := capacities[name]; !ok {
+			delete(d.shelves, name)
+		}
+	}
+	for name, capacity := range capacities {
+		if s, ok := d.shelves[name]; ok {
+			s.capacity = capacity
+			continue
+		}
+		d.shelves[name] = &shelf{capacity: capacity, held: map[Part]int{}, saving: map[Part]saving{}}
+	}
+}
+
+// Position returns the store's epoch and the number of the next event to read.
+func (d *Directory) Position(store string) (epoch, next uint64) {
+	if s, ok := d.shelves[store]; ok {
+		return s.epoch, s.next
+	}
+	return 0, 0
+}
+
+// Synced reports whether no event is known to be missing.
+func (d *Directory) Synced(store string) bool {
+	s, ok := d.shelves[store]
+	return ok && s.synced
+}
+
+// Apply takes events of a store in its epoch. A new epoch means that the store
+// restarted empty.
+func (d *Directory) Apply(store string, epoch, next uint64, lost bool, events []Event) {
+	s, ok := d.shelves[store]
+	if !ok {
+		return
+	}
+	if epoch != s.epoch {
+		s.reset(epoch)
+	}
+	if lost {
+		s.synced = false
+	}
+	for _, ev := range events {
+		if s.next > 0 && ev.Number > s.next {
+			s.synced = false
+		}
+		s.next = ev.Number + 1
+		s.apply(ev)
+	}
+	s.next = max(s.next, next)
+}
+
+// Replace takes the whole contents of a store.
+func (d *Directory) Replace(store string, l Listing) {
+	s, ok := d.shelves[store]
+	if !ok || l.Epoch == s.epoch && l.Next < s.next {
+		return
+	}
+	if l.Epoch != s.epoch {
+		s.reset(l.Epoch)
+	}
+	s.next, s.synced, s.held = l.Next, true, l.Held
+	s.used = 0
+	for _, tokens := range l.Held {
+		s.used += blocks(tokens)
+	}
+	s.partial = 0
+	for part, tokens := range l.Partial {
+		if _, ok := s.saving[part]; !ok {
+			s.partial += blocks(tokens)
+		}
+	}
+	for part := range s.saving {
+		if _, ok := l.Held[part]; ok {
+			delete(s.saving, part)
+		}
+	}
+}
+
+// Forget drops what is known of a store that can't be reached.
+func (d *Directory) Forget(store string) {
+	if s, ok := d.shelves[store]; ok {
+		s.reset(0)
+	}
+}
+
+func (s *shelf) reset(epoch uint64) {
+	*s = shelf{capacity: s.capacity, epoch: epoch, held: map[Part]int{}, saving: map[Part]saving{}}
+}
+
+func (s *shelf) apply(ev Event) {
+	delete(s.saving, ev.Part)
+	if old, ok := s.held[ev.Part]; ok {
+		s.used -= blocks(old)
+		delete(s.held, ev.Part)
+	}
+	if !ev.Gone {
+		s.held[ev.Part] = ev.Tokens
+		s.used += blocks(ev.Tokens)
+	}
+}
+
+// Free notes that parts are about to be freed, so that none is fetched any more.
+func (d *Directory) Free(store string, parts []Part) {
+	if s, ok := d.shelves[store]; ok {
+		for _, p := range parts {
+			s.apply(Event{Part: p, Gone: true})
+		}
+	}
+}
+
+// Locate returns a store that holds all tokens of a part.
+func (d *Directory) Locate(p Part, tokens int) (string, bool) {
+	best, top := "", uint64(0)
+	for name, s := range d.shelves {
+		if s.held[p] < tokens || s.held[p] == 0 {
+			continue
+		}
+		if score := score(p, name); best == "" || score > top {
+			best, top = name, score
+		}
+	}
+	return best, best != ""
+}
+
+// Saving reports whether a save of a part is under way.
+func (d *Directory) Saving(now time.Time, p Part) bool {
+	for _, s := range d.shelves {
+		if sv, ok := s.saving[p]; ok && now.Before(sv.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// Reserve chooses a store with room for a part that none holds, and notes that
+// it is being saved there.
+func (d *Directory) Reserve(now time.Time, p Part, tokens int) (string, bool) {
+	if d.Saving(now, p) {
+		return "", false
+	}
+	best, top := "", 0.0
+	for name, s := range d.shelves {
+		room := s.room(now)
+		if !s.synced || room < blocks(tokens) {
+			continue
+		}
+		// Weighted rendezvous: stores fill in proportion to their free space.
+		if v := float64(score(p, name)>>11) / (1 << 53) * float64(room); best == "" || v > top {
+			best, top = name, v
+		}
+	}
+	if best == "" {
+		return "", false
+	}
+	d.shelves[best].saving[p] = saving{tokens, now.Add(savingLimit)}
+	return best, true
+}
+
+func (s *shelf) room(now time.Time) int {
+	taken := s.used + s.partial
+	for p, sv := range s.saving {
+		if !now.Before(sv.until) {
+			delete(s.saving, p)
+			continue
+		}
+		taken += blocks(sv.tokens)
+	}
+	return int(float64(s.capacity)*fullShare) - taken
+}
+
+// Stale returns the parts of a store whose salt is not wanted any more.
+func (d *Directory) Stale(store string, wanted func(salt string) bool) []Part {
+	var out []Part
+	if s, ok := d.shelves[store]; ok {
+		for p := range s.held {
+			if !wanted(p.Salt) {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+// Usage returns the tokens held and the space of a store.
+func (d *Directory) Usage(store string) (used, capacity int) {
+	if s, ok := d.shelves[store]; ok {
+		return s.used + s.partial, s.capacity
+	}
+	return 0, 0
+}
+
+func blocks(tokens int) int {
+	return (tokens + blockTokens - 1) / blockTokens * blockTokens
+}
+
+func score(p Part, store string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range [...]string{p.Salt, "\x00", p.ID, "\x00", store} {
+		_, _ = d.WriteString(s)
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/feed/feed.go
@@ -0,0 +1,105 @@
+// Package feed keeps the newest record of each key of an ordered topic, and how
+// recently that view was proven complete.
+package feed
+
+import "time"
+
+// Record is one record of a topic. A record without a value deletes its key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// Feed is the view of one topic. The zero value has read nothing. It is not
+// safe for concurrent use.
+type Feed struct {
+	records map[string]Record
+	next    uint64
+	loaded  bool
+	proof   time.Time
+}
+
+// Next returns the offset of the first record that was not read yet.
+func (f *Feed) Next() uint64 { return f.next }
+
+// Loaded reports whether a whole view was read at least once.
+func (f *Feed) Loaded() bool { return f.loaded }
+
+// Records returns the records in force, in no order.
+func (f *Feed) Records() []Record {
+	out := make([]Record, 0, len(f.records))
+	for _, rec := range f.records {
+		out = append(out, rec)
+	}
+	return out
+}
+
+// Append takes records read from the topic up to next, and returns those that
+// change the view.
+func (f *Feed) Append(records []Record, next uint64) []Record {
+	var changed []Record
+	for _, rec := range records {
+		if f.put(rec) {
+			changed = append(changed, rec)
+		}
+	}
+	f.next = max(f.next, next)
+	return changed
+}
+
+// Replace takes a whole view as of next. Keys that it lacks are deleted, except
+// those with a record at or after next. A view that is older than this one
+// changes nothing.
+func (f *Feed) Replace(records []Record, next uint64) []Record {
+	if f.loaded && next < f.next {
+		return nil
+	}
+	listed := make(map[string]bool, len(records))
+	for _, rec := range records {
+		listed[rec.Key] = true
+	}
+	var changed []Record
+	for key, rec := range f.records {
+		if !listed[key] && rec.Offset < next {
+			delete(f.records, key)
+			changed = append(changed, Record{Key: key, Offset: next})
+		}
+	}
+	f.loaded = true
+	return append(changed, f.Append(records, next)...)
+}
+
+// put keeps a record that is newer than the one of its key.
+func (f *Feed) put(rec Record) bool {
+	old, ok := f.records[rec.Key]
+	if ok && rec.Offset <= old.Offset {
+		return false
+	}
+	if len(rec.Value) == 0 {
+		delete(f.records, rec.Key)
+		return ok
+	}
+	if f.records == nil {
+		f.records = map[string]Record{}
+	}
+	f.records[rec.Key] = rec
+	return true
+}
+
+// Prove notes that the view up to next was complete at a moment. A view that
+// has not read as far is not proven.
+func (f *Feed) Prove(at time.Time, next uint64) {
+	if f.loaded && f.next >= next && at.After(f.proof) {
+		f.proof = at
+	}
+}
+
+// Proof returns the latest moment at which the view is known to have been
+// complete; the zero time if there is none.
+func (f *Feed) Proof() time.Time { return f.proof }
+
+// Current reports whether the view was complete within limit before now.
+func (f *Feed) Current(now time.Time, limit time.Duration) bool {
+	return !f.proof.IsZero() && now.Sub(f.proof) < limit
+}
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,54 @@
+// Package lease tells whether an instance holds a duty, from its membership in
+// a group of the platform's log. The group's generation is the fencing token.
+package lease
+
+import "time"
+
+// margin is taken off a lease, for the time between the last check and the
+// moment at which an action takes effect.
+const margin = 300 * time.Millisecond
+
+// Grant is the answer to a renewal.
+type Grant struct {
+	Generation uint64
+	// Held is true if the duty is this instance's.
+	Held bool
+}
+
+// Lease is one instance's hold on a duty. The zero value holds nothing. It is
+// not safe for concurrent use.
+type Lease struct {
+	// Quiet is how long a new holder waits before it acts, so that actions of
+	// the holder before it have arrived.
+	Quiet      time.Duration
+	generation uint64
+	held       bool
+	since      time.Time
+	until      time.Time
+}
+
+// Renew takes a grant that was asked for at sent and lasts for ttl.
+func (l *Lease) Renew(sent time.Time, ttl time.Duration, g Grant) {
+	if g.Generation < l.generation {
+		return
+	}
+	if g.Held && (!l.held || !sent.Before(l.until)) {
+		l.since = sent
+	}
+	l.generation, l.held = g.Generation, g.Held
+	l.until = sent.Add(ttl - margin)
+}
+
+// Generation returns the newest generation seen.
+func (l *Lease) Generation() uint64 { return l.generation }
+
+// Token returns the fencing token if the duty may be acted on now.
+func (l *Lease) Token(now time.Time) (uint64, bool) {
+	if !l.held || !now.Before(l.until) || now.Sub(l.since) < l.Quiet {
+		return 0, false
+	}
+	return l.generation, true
+}
+
+// Held reports whether the duty is this instance's, acted on or not.
+func (l *Lease) Held(now time.Time) bool { return l.held && now.Before(l.until) }
--- /dev/null
+++ b/core/pool/choose.go
@@ -0,0 +1,253 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Tokens is the memory that the request needs, Reading the part of its
+	// prompt that has to be read.
+	Tokens, Reading int
+	// Home selects the replicas that the same context returns to.
+	Home string
+	// ColdRate is the number of requests per second that a cold replica bears.
+	ColdRate float64
+	// Memory is that of a replica in tokens; 0 if it has no limit.
+	Memory int
+	// Closed holds the data centres that get no work, Tried the replicas that
+	// were already tried.
+	Closed, Tried map[string]bool
+}
+
+// Reason says why no replica was chosen.
+type Reason string
+
+// The reasons.
+const (
+	NoReplica Reason = "no-replica"
+	Reloading Reason = "reloading"
+	Cold      Reason = "cold"
+	Failing   Reason = "failing"
+	Full      Reason = "full"
+)
+
+// Choice is a chosen replica, with the weight version that it holds.
+type Choice struct {
+	Replica
+	Version int
+}
+
+// Weights of the estimate.
+const (
+	// readRate is the number of prompt tokens that an engine reads in a
+	// millisecond, as the deployments' sheets give it.
+	readRate = 140
+	// slotDelay is what each running request adds to the time of an answer.
+	slotDelay = time.Millisecond
+	// homeGain is the time that the first home of a context is preferred by;
+	// the second home has half of it.
+	homeGain = 16 * time.Millisecond
+	// nearGain prefers replicas of the own data centre.
+	nearGain = 4 * time.Millisecond
+	// waitingDelay is what each request that waits at a replica adds.
+	waitingDelay = 15 * time.Millisecond
+	// oldVersionDelay is added for replicas with older weights.
+	oldVersionDelay = 150 * time.Millisecond
+	// tightDelay is added at full memory; it grows from tightFrom on.
+	tightDelay = 400 * time.Millisecond
+	tightFrom  = 0.6
+	// failDelay is added for a replica that fails all requests.
+	failDelay = 500 * time.Millisecond
+	// fullSlots and fullMemory are the loads at which a replica is full.
+	fullSlots  = 2.0
+	fullMemory = 1.25
+)
+
+// Choose returns the replica with the best estimate and counts the request
+// against its limit while it is cold. The caller must call Begin.
+func (p *Pool) Choose(now time.Time, req Request) (Choice, Reason) {
+	reason := NoReplica
+	var open, avoided []*replica
+	for _, r := range p.replicas {
+		if r.Service != req.Service || r.Draining || req.Closed[r.DataCentre] || req.Tried[r.ID] {
+			continue
+		}
+		if req.Model != "" && r.Versions[req.Model] == 0 {
+			continue
+		}
+		switch {
+		case now.Before(r.reloadUntil):
+			reason = Reloading
+		case p.cold(now, r, req.ColdRate):
+			reason = Cold
+		case now.Before(r.avoidUntil):
+			avoided = append(avoided, r)
+		default:
+			open = append(open, r)
+		}
+	}
+	if len(open) == 0 && len(avoided) > 0 {
+		// A replica that failed is better than none once its first pause is over.
+		reason = Failing
+		open = retryable(now, avoided)
+	}
+	best := p.best(now, req, open)
+	if best == nil {
+		if len(open) > 0 {
+			reason = Full
+		}
+		return Choice{}, reason
+	}
+	if req.ColdRate > 0 && now.Before(best.ColdUntil) {
+		best.grant--
+	}
+	return Choice{best.Replica, best.Versions[req.Model]}, ""
+}
+
+// retryable returns the replicas that did not fail for some time.
+func retryable(now time.Time, avoided []*replica) []*replica {
+	var out []*replica
+	for _, r := range avoided {
+		pause := min(firstPause<<min(max(r.failures-1, 0), 10), longestPause)
+		if r.failures == 0 || now.Sub(r.avoidUntil.Add(-pause)) >= firstPause {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (p *Pool) best(now time.Time, req Request, open []*replica) *replica {
+	newest := 0
+	for _, r := range open {
+		newest = max(newest, r.Versions[req.Model])
+	}
+	usual := usualDelay(open)
+	first, second := homes(req.Home, open)
+	var best *replica
+	var least time.Duration
+	for i, r := range open {
+		cost, ok := p.estimate(now, req, r, usual)
+		if !ok {
+			continue
+		}
+		if r.Versions[req.Model] < newest {
+			cost += oldVersionDelay
+		}
+		switch i {
+		case first:
+			cost -= homeGain
+		case second:
+			cost -= homeGain / 2
+		}
+		if best == nil || cost < least || cost == least && r.ID < best.ID {
+			best, least = r, cost
+		}
+	}
+	return best
+}
+
+// estimate returns the expected delay of a request at a replica; ok is false if
+// the replica is full.
+func (p *Pool) estimate(now time.Time, req Request, r *replica, usual time.Duration) (time.Duration, bool) {
+	load := r.load(now)
+	running := load.Running
+	var cost time.Duration
+	if now.Sub(r.reported.at) < reportLife {
+		running = max(running, r.reported.running)
+		cost += time.Duration(r.reported.waiting) * waitingDelay
+	}
+	slots := max(r.Slots, 1)
+	if float64(running) >= fullSlots*float64(slots) {
+		return 0, false
+	}
+	if running >= slots {
+		cost += time.Duration(running-slots+1) * waitingDelay
+	}
+	if req.Memory > 0 {
+		fill := float64(load.Tokens+req.Tokens) / float64(req.Memory)
+		if fill > fullMemory && load.Running > 0 {
+			return 0, false
+		}
+		if fill > tightFrom {
+			cost += time.Duration((fill - tightFrom) / (1 - tightFrom) * float64(tightDelay))
+		}
+		cost += time.Duration(running)*slotDelay + time.Duration(r.reading)*time.Millisecond/readRate
+	} else {
+		cost += usual * time.Duration(running) / time.Duration(slots)
+	}
+	if r.DataCentre == p.DataCentre {
+		cost -= nearGain
+	}
+	cost += r.excessDelay(now, usual) + time.Duration(r.failRate*float64(failDelay))
+	return cost, true
+}
+
+// excessDelay is the delay beyond the usual one, which fades with time so that
+// a replica that got no requests is tried again.
+func (r *replica) excessDelay(now time.Time, usual time.Duration) time.Duration {
+	excess := r.delay - usual*3/2
+	if excess <= 0 {
+		return 0
+	}
+	fade := float64(now.Sub(r.delayAt)) / float64(delayFade)
+	return time.Duration(float64(excess) / (1 + fade*fade))
+}
+
+// usualDelay is the median of the replicas' delays.
+func usualDelay(all []*replica) time.Duration {
+	var delays []time.Duration
+	for _, r := range all {
+		if !r.delayAt.IsZero() {
+			delays = append(delays, r.delay)
+		}
+	}
+	if len(delays) == 0 {
+		return 0
+	}
+	sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
+	return delays[len(delays)/2]
+}
+
+// cold reports whether a replica is cold and this instance has used its share
+// of what it bears.
+func (p *Pool) cold(now time.Time, r *replica, rate float64) bool {
+	if rate <= 0 || !now.Before(r.ColdUntil) {
+		r.grantAt = time.Time{}
+		return false
+	}
+	if r.grantAt.IsZero() {
+		r.grant = 1
+	} else {
+		r.grant = min(1, r.grant+now.Sub(r.grantAt).Seconds()*rate/float64(max(p.Members, 1)))
+	}
+	r.grantAt = now
+	return r.grant < 1
+}
+
+// homes returns the indexes of the two replicas that a context returns to, by
+// rendezvous hashing; -1 if there is none.
+func homes(key string, all []*replica) (first, second int) {
+	first, second = -1, -1
+	if key == "" {
+		return first, second
+	}
+	var top, next uint64
+	for i, r := range all {
+		s := xxhash.Sum64String(key + "\x00" + r.ID)
+		switch {
+		case first < 0 || s > top:
+			second, next = first, top
+			first, top = i, s
+		case second < 0 || s > next:
+			second, next = i, s
+		}
+	}
+	return first, second
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,312 @@
+// Package pool keeps the replicas of all services with what is known of their
+// state, and chooses one for a request.
+package pool
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Replica is what the list of replicas says of one.
+type Replica struct {
+	ID, Service string
+	Address     netip.AddrPort
+	DataCentre  string
+	// Slots is the number of requests that it works on at once.
+	Slots    int
+	Draining bool
+	// ColdUntil is when it bears its full load; the zero time if it does now.
+	ColdUntil time.Time
+	// Versions has the weight version of each model that it holds.
+	Versions map[string]int
+	// Incarnation tells the starts of a replica under one id apart.
+	Incarnation int64
+}
+
+// Load is work in flight at a replica.
+type Load struct {
+	Running int
+	// Tokens is the memory that the running requests need.
+	Tokens int
+}
+
+// Limits on what is believed of a replica.
+const (
+	// peerLoadLife is how long the load that another instance told counts.
+	peerLoadLife = 2 * time.Second
+	// reportLife is how long the load that a replica reported counts.
+	reportLife = 400 * time.Millisecond
+	// firstPause and longestPause bound the time that a failed replica is
+	// avoided; it doubles with each failure in a row.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 4 * time.Second
+	// refusedPause is how long a replica that refused a request is avoided.
+	refusedPause = 60 * time.Millisecond
+	// delayWeight is the share of a new observation in the mean delay.
+	delayWeight = 0.2
+	// delayFade is the time in which an unusual delay is half forgotten.
+	delayFade = 3 * time.Second
+)
+
+type replica struct {
+	Replica
+	removeAt time.Time
+	own      Load
+	reading  int
+	peers    map[string]peerLoad
+	// reported is the load in the replica's last answer.
+	reported struct {
+		running, waiting int
+		at               time.Time
+	}
+	failures   int
+	avoidUntil time.Time
+	// reloadUntil is how long it gets no new work because its weights are
+	// about to change.
+	reloadUntil time.Time
+	grant       float64
+	grantAt     time.Time
+	delay       time.Duration
+	delayAt     time.Time
+	failRate    float64
+}
+
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
+// Pool is the set of known replicas. The zero value is empty. It is not safe
+// for concurrent use.
+type Pool struct {
+	// DataCentre is that of this instance.
+	DataCentre string
+	// Members is the number of instances that share the limits of cold replicas.
+	Members  int
+	replicas map[string]*replica
+}
+
+// Set adds a replica or takes its new state.
+func (p *Pool) Set(r Replica) {
+	if p.replicas == nil {
+		p.replicas = map[string]*replica{}
+	}
+	old, ok := p.replicas[r.ID]
+	if !ok || old.Incarnation != r.Incarnation {
+		p.replicas[r.ID] = &replica{Replica: r, peers: map[string]peerLoad{}}
+		return
+	}
+	// A version that was seen on an answer is newer than a record that lags.
+	for model, v := range old.Versions {
+		if v > r.Versions[model] {
+			r.Versions[model] = v
+		}
+	}
+	old.Replica, old.removeAt = r, time.Time{}
+}
+
+// Remove drops a replica at a moment, which may lie ahead if it is not sure
+// that the replica is gone.
+func (p *Pool) Remove(now, at time.Time, id string) {
+	r, ok := p.replicas[id]
+	if !ok {
+		return
+	}
+	if !now.Before(at) {
+		delete(p.replicas, id)
+		return
+	}
+	r.removeAt = at
+}
+
+// Sweep drops the replicas whose removal is due and returns their ids.
+func (p *Pool) Sweep(now time.Time) []string {
+	var gone []string
+	for id, r := range p.replicas {
+		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
+			delete(p.replicas, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Replica returns a replica by its id.
+func (p *Pool) Replica(id string) (Replica, bool) {
+	r, ok := p.replicas[id]
+	if !ok {
+		return Replica{}, false
+	}
+	return r.Replica, true
+}
+
+// All returns the replicas of a service.
+func (p *Pool) All(service string) []Replica {
+	var out []Replica
+	for _, r := range p.replicas {
+		if r.Service == service {
+			out = append(out, r.Replica)
+		}
+	}
+	return out
+}
+
+// Own returns this instance's work in flight by replica.
+func (p *Pool) Own() map[string]Load {
+	out := map[string]Load{}
+	for id, r := range p.replicas {
+		if r.own.Running > 0 {
+			out[id] = r.own
+		}
+	}
+	return out
+}
+
+// Running returns the number of requests in flight at a replica, over all
+// instances that told theirs.
+func (p *Pool) Running(now time.Time, id string) int {
+	if r, ok := p.replicas[id]; ok {
+		return r.load(now).Running
+	}
+	return 0
+}
+
+// HearPeer takes the whole load that another instance has in flight.
+func (p *Pool) HearPeer(now time.Time, peer string, loads map[string]Load) {
+	for id, r := range p.replicas {
+		if l, ok := loads[id]; ok {
+			r.peers[peer] = peerLoad{l, now}
+		} else {
+			delete(r.peers, peer)
+		}
+	}
+}
+
+// Begin counts a request as in flight at a replica.
+func (p *Pool) Begin(id string, tokens, reading int) {
+	if r, ok := p.replicas[id]; ok {
+		r.own.Running++
+		r.own.Tokens += tokens
+		r.reading += reading
+	}
+}
+
+// FirstAnswer notes that a request's prompt has been read, with the time that
+// the first part of its answer took.
+func (p *Pool) FirstAnswer(now time.Time, id string, reading int, took time.Duration) {
+	r, ok := p.replicas[id]
+	if !ok {
+		return
+	}
+	p.Read(id, reading)
+	if r.delayAt.IsZero() {
+		r.delay = took
+	} else {
+		r.delay += time.Duration(delayWeight * float64(took-r.delay))
+	}
+	r.delayAt = now
+}
+
+// Read notes that prompt tokens wait no longer to be read.
+func (p *Pool) Read(id string, tokens int) {
+	if r, ok := p.replicas[id]; ok {
+		r.reading -= tokens
+	}
+}
+
+// End takes a request off the count.
+func (p *Pool) End(id string, tokens int) {
+	if r, ok := p.replicas[id]; ok {
+		r.own.Running--
+		r.own.Tokens -= tokens
+	}
+}
+
+// Report takes the load that a replica's answer carried.
+func (p *Pool) Report(now time.Time, id string, running, waiting int) {
+	if r, ok := p.replicas[id]; ok {
+		r.reported.running, r.reported.waiting, r.reported.at = running, waiting, now
+	}
+}
+
+// Succeeded notes a whole answer.
+func (p *Pool) Succeeded(id string) {
+	if r, ok := p.replicas[id]; ok {
+		r.failures, r.avoidUntil = 0, time.Time{}
+		r.failRate *= 1 - delayWeight
+	}
+}
+
+// Failed notes that a replica could not be reached or broke off.
+func (p *Pool) Failed(now time.Time, id string) {
+	r, ok := p.replicas[id]
+	if !ok {
+		return
+	}
+	pause := min(firstPause<<min(r.failures, 10), longestPause)
+	r.failures++
+	r.avoidUntil = now.Add(pause)
+	r.failRate += delayWeight * (1 - r.failRate)
+}
+
+// Erred notes that a replica answered with a failure of its own.
+func (p *Pool) Erred(id string) {
+	if r, ok := p.replicas[id]; ok {
+		r.failRate += delayWeight * (1 - r.failRate)
+	}
+}
+
+// Refused notes that a replica refused a request without running it.
+func (p *Pool) Refused(now time.Time, id string) {
+	if r, ok := p.replicas[id]; ok {
+		r.avoidUntil = later(r.avoidUntil, now.Add(refusedPause))
+	}
+}
+
+// Misdirected notes that another replica answers at the address.
+func (p *Pool) Misdirected(now time.Time, id string) {
+	if r, ok := p.replicas[id]; ok {
+		r.avoidUntil = now.Add(longestPause)
+	}
+}
+
+// SawVersion notes the weight version that a replica answered with.
+func (p *Pool) SawVersion(id, model string, version int) {
+	r, ok := p.replicas[id]
+	if !ok || version <= r.Versions[model] {
+		return
+	}
+	// The map may be shared with a snapshot, so it is copied.
+	versions := map[string]int{model: version}
+	for m, v := range r.Versions {
+		if m != model {
+			versions[m] = v
+		}
+	}
+	r.Versions = versions
+}
+
+// Reloading keeps new work from a replica until a moment.
+func (p *Pool) Reloading(id string, until time.Time) {
+	if r, ok := p.replicas[id]; ok {
+		r.reloadUntil = until
+	}
+}
+
+func (r *replica) load(now time.Time) Load {
+	sum := r.own
+	for _, l := range r.peers {
+		if now.Sub(l.at) < peerLoadLife {
+			sum.Running += l.Running
+			sum.Tokens += l.Tokens
+		}
+	}
+	return sum
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/reload/reload.go
@@ -0,0 +1,159 @@
+// Package reload brings the engines of a model to a new weight version: it keeps
+// new work from some of them, lets what they run end, and orders them to load,
+// a few at a time.
+package reload
+
+import (
+	"sort"
+	"time"
+)
+
+// Engine is the state of one engine.
+type Engine struct {
+	ID      string
+	Version int
+	// Running is the number of requests in flight at it.
+	Running int
+	// Usable engines may get work.
+	Usable bool
+}
+
+// Action is one of the types below.
+type Action interface{ action() }
+
+// Drain keeps new work from an engine.
+type Drain struct{ ID string }
+
+// Load orders an engine to load a version.
+type Load struct {
+	ID      string
+	Version int
+}
+
+// Release lets an engine have work again.
+type Release struct{ ID string }
+
+func (Drain) action()   {}
+func (Load) action()    {}
+func (Release) action() {}
+
+// Times and shares of a reload.
+const (
+	// drainLimit is how long an engine is drained before it is ordered with
+	// requests still running, which it then lets end.
+	drainLimit = 900 * time.Millisecond
+	// settle is the time in which all instances learn that an engine is drained.
+	settle = 150 * time.Millisecond
+	// orderRetry is how long an order may go without effect before it is sent again.
+	orderRetry = 2500 * time.Millisecond
+	// loadsAtOnce is the number of loads that do not slow each other.
+	loadsAtOnce = 2
+	// outShare is the share of the engines that may be out at once.
+	outShare = 0.5
+)
+
+type progress struct {
+	drainedAt time.Time
+	orderedAt time.Time
+	version   int
+}
+
+// Reload is the progress of one model. The zero value has started nothing. It
+// is not safe for concurrent use.
+type Reload struct {
+	engines map[string]progress
+}
+
+// Step returns what to do now so that all engines come to the version.
+func (rl *Reload) Step(now time.Time, target int, all []Engine) []Action {
+	if rl.engines == nil {
+		rl.engines = map[string]progress{}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	var out []Action
+	out = append(out, rl.finish(target, all)...)
+	out = append(out, rl.drain(now, target, all)...)
+	return append(out, rl.load(now, target, all)...)
+}
+
+// finish releases engines that hold the version or are gone.
+func (rl *Reload) finish(target int, all []Engine) []Action {
+	var out []Action
+	seen := map[string]bool{}
+	for _, e := range all {
+		seen[e.ID] = true
+		if _, ok := rl.engines[e.ID]; ok && e.Version >= target {
+			delete(rl.engines, e.ID)
+			out = append(out, Release{e.ID})
+		}
+	}
+	for id := range rl.engines {
+		if !seen[id] {
+			delete(rl.engines, id)
+			out = append(out, Release{id})
+		}
+	}
+	return out
+}
+
+func (rl *Reload) drain(now time.Time, target int, all []Engine) []Action {
+	var out []Action
+	room := max(1, int(outShare*float64(len(all)))) - len(rl.engines)
+	// The least loaded engines go first, since they are empty soonest.
+	waiting := make([]Engine, 0, len(all))
+	for _, e := range all {
+		if _, ok := rl.engines[e.ID]; !ok && e.Version < target {
+			waiting = append(waiting, e)
+		}
+	}
+	sort.SliceStable(waiting, func(i, j int) bool { return waiting[i].Running < waiting[j].Running })
+	for _, e := range waiting[:max(0, min(room, len(waiting)))] {
+		rl.engines[e.ID] = progress{drainedAt: now}
+		out = append(out, Drain{e.ID})
+	}
+	return out
+}
+
+func (rl *Reload) load(now time.Time, target int, all []Engine) []Action {
+	loading := 0
+	for _, p := range rl.engines {
+		if p.version == target && now.Sub(p.orderedAt) < orderRetry {
+			loading++
+		}
+	}
+	var out []Action
+	for _, e := range all {
+		p, ok := rl.engines[e.ID]
+		if !ok || loading >= loadsAtOnce+1 {
+			continue
+		}
+		ordered := p.version == target && now.Sub(p.orderedAt) < orderRetry
+		waited := now.Sub(p.drainedAt)
+		if ordered || waited < settle || e.Running > 0 && waited < drainLimit {
+			continue
+		}
+		p.version, p.orderedAt = target, now
+		rl.engines[e.ID] = p
+		loading++
+		out = append(out, Load{e.ID, target})
+	}
+	return out
+}
+
+// Out returns the engines that must get no new work.
+func (rl *Reload) Out() []string {
+	var out []string
+	for id := range rl.engines {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Failed notes that an order was refused, so that it is sent again soon.
+func (rl *Reload) Failed(id string) {
+	if p, ok := rl.engines[id]; ok {
+		p.version = 0
+		rl.engines[id] = p
+	}
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -14,9 +14,21 @@
 // Budget counts what may still be retried. The zero value allows a few
 // retries. It is safe for concurrent use.
 type Budget struct {
-	mu      sync.Mutex
-	started bool
-	left    float64
+	// PerRequest is the share of retries in requests; 0 means a default.
+	PerRequest float64
+	mu         sync.Mutex
+	started    bool
+	left       float64
+	most       float64
+}
+
+// Bound sets the number of retries that may be saved up.
+func (b *Budget) Bound(most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start()
+	b.most = most
+	b.left = min(b.left, most)
 }
 
 // Deposit adds the share of one request.
@@ -24,7 +36,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.start()
-	b.left = min(b.left+perRequest, most)
+	b.left = min(b.left+b.PerRequest, b.most)
 }
 
 // Withdraw takes one retry, if there is one left.
@@ -41,6 +53,9 @@
 
 func (b *Budget) start() {
 	if !b.started {
-		b.started, b.left = true, first
+		b.started, b.left, b.most = true, first, most
+		if b.PerRequest == 0 {
+			b.PerRequest = perRequest
+		}
 	}
 }
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,187 @@
+// Package route holds the operators' configuration in the form in which the
+// request path looks it up: routes by host and path, services, and accounts by
+// key.
+package route
+
+import (
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run again after any failure.
+	Idempotent
+	// Streaming requests are answered by events and run at most once, unless
+	// the route is resumable.
+	Streaming
+)
+
+// Choice is one of the services that a route's requests go to.
+type Choice struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one operator rule for requests.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	// Choices has one service, or several with their shares.
+	Choices []Choice
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full worth.
+	Target time.Duration
+	// MaxGap is the longest pause between events that is still on time.
+	MaxGap time.Duration
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int
+	// MaxAttempts is the number of upstreams that one request may run on.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another upstream.
+	Resumable bool
+	// Prompts is true if the requests carry prompts for model engines.
+	Prompts bool
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Pick returns the service for a request by its hash, in proportion to the weights.
+func (r *Route) Pick(hash uint64) string {
+	total := 0.0
+	for _, c := range r.Choices {
+		total += c.Weight
+	}
+	const steps = 1 << 20
+	at := float64(hash%steps) / steps * total
+	for _, c := range r.Choices {
+		if at < c.Weight {
+			return c.Service
+		}
+		at -= c.Weight
+	}
+	if len(r.Choices) == 0 {
+		return ""
+	}
+	return r.Choices[0].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in a batch.
+	Slots int
+	// Memory is the number of tokens that an engine holds.
+	Memory int
+	Models []string
+}
+
+// Store describes a store of context.
+type Store struct {
+	Address    netip.AddrPort
+	DataCentre string
+	// Capacity is in tokens.
+	Capacity int
+	// Managed stores drop nothing on their own.
+	Managed bool
+}
+
+// Service is a group of equal upstreams, or a store.
+type Service struct {
+	Name string
+	// ColdRate is the number of requests per second that a cold upstream bears;
+	// 0 means that there is no limit.
+	ColdRate float64
+	// Engine is set for model engines, Store for stores.
+	Engine *Engine
+	Store  *Store
+}
+
+// Account is a client account as the request path needs it.
+type Account struct {
+	Name string
+	// Priority goes before that of the route if Ranked.
+	Priority int
+	Ranked   bool
+	// Isolated accounts share no context with others.
+	Isolated bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Table is one version of the configuration. It must not be changed after NewTable.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	// Keyed is true if the configuration has accounts.
+	Keyed    bool
+	byHost   map[string][]*Route
+	accounts map[string]Account
+}
+
+// NewTable indexes a configuration. accounts maps keys to accounts.
+func NewTable(version uint64, limits Limits, routes []Route, services []Service, accounts map[string]Account, keyed bool) *Table {
+	t := &Table{
+		Version: version, Limits: limits, Services: map[string]Service{},
+		Keyed: keyed, byHost: map[string][]*Route{}, accounts: accounts,
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &routes[i])
+	}
+	for _, all := range t.byHost {
+		sort.SliceStable(all, func(i, j int) bool { return len(all[i].Prefix) > len(all[j].Prefix) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account that holds a key.
+func (t *Table) Account(key string) (Account, bool) {
+	a, ok := t.accounts[key]
+	return a, ok
+}
+
+// Stores returns the stores of context, sorted by name.
+func (t *Table) Stores() []Service {
+	var out []Service
+	for _, s := range t.Services {
+		if s.Store != nil {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/entry/duty/duty.go
@@ -0,0 +1,326 @@
+// Package duty does the work that one instance does for all: it orders replicas
+// to load new weights and frees what stores hold in vain. The membership of a
+// group of the platform's log says who holds the duty.
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/directory"
+	"crocusfold.dev/core/lease"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/reload"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/setup"
+	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/upstreams"
+)
+
+// Times of a duty.
+const (
+	// memberLife is how long a member that sends nothing keeps its duties.
+	memberLife = 1500 * time.Millisecond
+	// renewEvery is the pause between two renewals.
+	renewEvery = 350 * time.Millisecond
+	// stepEvery is the pause between two looks at what there is to do.
+	stepEvery = 50 * time.Millisecond
+	// reportEvery is the pause between two questions whether weights are loaded.
+	reportEvery = 80 * time.Millisecond
+	// loadLimit is how long the loading of weights is watched.
+	loadLimit = 2500 * time.Millisecond
+	// freeAfter is the time from the last use of weights until what stores hold
+	// of them is freed. It is longer than any fetch.
+	freeAfter = 3 * time.Second
+	// cleanEvery is the pause between two looks at the stores.
+	cleanEvery = 700 * time.Millisecond
+)
+
+// Duty is safe for concurrent use. The exported fields must be set before Run.
+type Duty struct {
+	Name      string
+	Bounds    setup.Bounds
+	Log       outside.Log
+	Control   outside.Control
+	Topics    *topics.Topics
+	Upstreams *upstreams.Upstreams
+	Now       func() time.Time
+	Logger    log.Logger
+	// Nudge tells peers at once what changed.
+	Nudge func()
+
+	mu      sync.Mutex
+	lease   lease.Lease
+	reloads map[string]*reload.Reload
+	retired map[string]retired
+}
+
+// retired is the oldest weight version of a model that replicas still hold.
+type retired struct {
+	oldest int
+	since  time.Time
+}
+
+// Out returns the replicas that this instance keeps new work from.
+func (d *Duty) Out() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.lease.Held(d.Now()) {
+		return nil
+	}
+	var out []string
+	for _, r := range d.reloads {
+		out = append(out, r.Out()...)
+	}
+	return out
+}
+
+// Run renews the membership and does the duty while it is this instance's.
+func (d *Duty) Run(ctx context.Context) {
+	d.mu.Lock()
+	d.lease.Quiet = d.Bounds.Lease
+	d.reloads = map[string]*reload.Reload{}
+	d.retired = map[string]retired{}
+	d.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, renewEvery, func() { d.renew(ctx) }) })
+	wg.Go(func() { every(ctx, stepEvery, func() { d.step(ctx) }) })
+	wg.Go(func() { every(ctx, cleanEvery, func() { d.clean(ctx) }) })
+	wg.Wait()
+}
+
+func every(ctx context.Context, pause time.Duration, do func()) {
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for {
+		do()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave gives the duty up.
+func (d *Duty) Leave(ctx context.Context) {
+	if err := d.Log.Leave(ctx, d.Name); err != nil {
+		_ = d.Logger.Log("msg", "The membership could not be given up; it lapses.", "err", err)
+	}
+}
+
+func (d *Duty) renew(ctx context.Context) {
+	d.mu.Lock()
+	generation := d.lease.Generation()
+	held := d.lease.Held(d.Now())
+	d.mu.Unlock()
+	ttl := max(memberLife, d.Bounds.MembershipMin)
+	sent := d.Now()
+	g, err := d.Log.Join(ctx, d.Name, ttl, generation)
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease.Renew(sent, ttl, g)
+	if now := d.lease.Held(d.Now()); now != held {
+		_ = d.Logger.Log("msg", "The holder of the duty changed.", "held", now, "generation", g.Generation)
+	}
+}
+
+// step brings replicas to the weights that the operators named.
+func (d *Duty) step(ctx context.Context) {
+	in := d.Topics.Intent()
+	if in == nil {
+		return
+	}
+	now := d.Now()
+	for model, version := range in.Versions {
+		d.stepModel(ctx, now, in, model, version)
+	}
+}
+
+func (d *Duty) stepModel(ctx context.Context, now time.Time, in *outside.Intent, model string, version int) {
+	engines, replicas := d.engines(now, in, model)
+	d.mu.Lock()
+	if _, ok := d.lease.Token(now); !ok {
+		delete(d.reloads, model)
+		d.mu.Unlock()
+		return
+	}
+	r, ok := d.reloads[model]
+	if !ok {
+		r = &reload.Reload{}
+		d.reloads[model] = r
+	}
+	actions := r.Step(now, version, engines)
+	d.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case reload.Drain:
+			_ = d.Logger.Log("msg", "A replica gets no new work before its weights change.", "replica", a.ID, "version", version)
+			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, now.Add(loadLimit)) })
+		case reload.Release:
+			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, time.Time{}) })
+		case reload.Load:
+			go d.load(ctx, replicas[a.ID], model, a.Version)
+		}
+	}
+	d.hold(now, r, model)
+	if len(actions) > 0 {
+		d.Nudge()
+	}
+}
+
+// hold keeps new work from the replicas that are out.
+func (d *Duty) hold(now time.Time, r *reload.Reload, model string) {
+	d.mu.Lock()
+	out := r.Out()
+	d.mu.Unlock()
+	d.Upstreams.With(func(p *pool.Pool) {
+		for _, id := range out {
+			p.Reloading(id, now.Add(time.Second))
+		}
+	})
+}
+
+func (d *Duty) engines(now time.Time, in *outside.Intent, model string) ([]reload.Engine, map[string]pool.Replica) {
+	var out []reload.Engine
+	replicas := map[string]pool.Replica{}
+	d.Upstreams.With(func(p *pool.Pool) {
+		for _, s := range in.Table.Services {
+			if s.Engine == nil {
+				continue
+			}
+			for _, r := range p.All(s.Name) {
+				if held, ok := r.Versions[model]; ok && !r.Draining {
+					replicas[r.ID] = r
+					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Running(now, r.ID), Usable: true})
+				}
+			}
+		}
+	})
+	return out, replicas
+}
+
+// load orders a replica to load a version and watches until it has.
+func (d *Duty) load(ctx context.Context, r pool.Replica, model string, version int) {
+	report, err := d.Control.Report(ctx, r.Address)
+	if err == nil && report.Versions[model] >= version {
+		d.loaded(r.ID, model, report.Versions[model])
+		return
+	}
+	if err == nil {
+		err = d.order(ctx, r, model, version, report.Seq)
+	}
+	if err != nil {
+		_ = d.Logger.Log("msg", "An order did not get through.", "replica", r.ID, "version", version, "err", err)
+	}
+	began := d.Now()
+	for ctx.Err() == nil && d.Now().Sub(began) < loadLimit {
+		pauseFor(ctx, reportEvery)
+		report, err := d.Control.Report(ctx, r.Address)
+		if err != nil {
+			continue
+		}
+		if report.Versions[model] >= version {
+			d.loaded(r.ID, model, report.Versions[model])
+			return
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// order sends one order if the duty is still held at the last moment.
+func (d *Duty) order(ctx context.Context, r pool.Replica, model string, version, seq int) error {
+	d.mu.Lock()
+	fence, ok := d.lease.Token(d.Now())
+	d.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	result, err := d.Control.Order(ctx, r.Address, outside.Order{
+		Replica: r.ID, Model: model, Version: version, Holder: d.Name, Fence: fence, Seq: seq,
+	})
+	_ = d.Logger.Log("msg", "Ordered a replica to load weights.", "replica", r.ID, "model", model, "version", version, "fence", fence, "result", int(result), "err", err)
+	return err
+}
+
+func (d *Duty) loaded(id, model string, version int) {
+	d.Upstreams.Loaded(d.Now(), message.ReplicaVersion{Replica: id, Model: model, Version: version})
+	d.Nudge()
+}
+
+// clean frees what stores hold of weights that no replica has any more.
+func (d *Duty) clean(ctx context.Context) {
+	in := d.Topics.Intent()
+	now := d.Now()
+	d.mu.Lock()
+	_, held := d.lease.Token(now)
+	d.mu.Unlock()
+	if in == nil || !held {
+		return
+	}
+	wanted := map[string]int{}
+	for model := range in.Versions {
+		engines, _ := d.engines(now, in, model)
+		wanted[model] = d.oldest(now, model, engines)
+	}
+	for name, address := range d.Upstreams.Stores() {
+		var parts []directory.Part
+		var epoch uint64
+		d.Upstreams.Directory(func(dir *directory.Directory) {
+			epoch, _ = dir.Position(name)
+			parts = dir.Stale(name, func(salt string) bool {
+				model, version, ok := directory.ParseSalt(salt)
+				return ok && version >= wanted[model]
+			})
+			dir.Free(name, parts)
+		})
+		if len(parts) == 0 {
+			continue
+		}
+		err := d.Control.Free(ctx, address, epoch, parts)
+		_ = d.Logger.Log("msg", "Freed context of old weights.", "store", name, "parts", len(parts), "err", err)
+	}
+}
+
+// oldest returns the oldest version whose context is still of use.
+func (d *Duty) oldest(now time.Time, model string, engines []reload.Engine) int {
+	oldest := 0
+	for _, e := range engines {
+		if oldest == 0 || e.Version < oldest {
+			oldest = e.Version
+		}
+	}
+	r, ok := d.retired[model]
+	if !ok || oldest < r.oldest {
+		d.retired[model] = retired{oldest, now}
+		return oldest
+	}
+	if oldest > r.oldest {
+		if r.since.IsZero() {
+			r.since = now
+		}
+		if now.Sub(r.since) < freeAfter {
+			d.retired[model] = retired{r.oldest, r.since}
+			return r.oldest
+		}
+		d.retired[model] = retired{oldest, time.Time{}}
+		return oldest
+	}
+	d.retired[model] = retired{oldest, time.Time{}}
+	return oldest
+}
--- /dev/null
+++ b/entry/edge/edge.go
@@ -0,0 +1,234 @@
+// Package edge puts an entry instance together that runs on a platform's log.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/retry"
+	"crocusfold.dev/core/roster"
+	"crocusfold.dev/entry/duty"
+	"crocusfold.dev/entry/gossip"
+	"crocusfold.dev/entry/mesh"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/relay"
+	"crocusfold.dev/entry/setup"
+	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/upstreams"
+	"crocusfold.dev/shell/clock"
+	"crocusfold.dev/shell/network"
+	"crocusfold.dev/shell/peer"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerLimit = 5 * time.Second
+	idleLimit   = 60 * time.Second
+	// maxHeader bounds the header of a request, in bytes.
+	maxHeader = 64 << 10
+	// readyShare is the part of the time for revoked keys up to which a view of
+	// the configuration may age before the instance turns unready.
+	readyShare = 0.6
+	// listenRetry is the pause after an address could not be bound.
+	listenRetry = 100 * time.Millisecond
+	listenTries = 50
+	// unreadyWait is how long new connections still come after a signal to stop.
+	unreadyWait = 3 * time.Second
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 600 * time.Millisecond
+	// announceEvery is how often the instance's own record is tried to be written.
+	announceEvery = 500 * time.Millisecond
+	// retryShare is the part of the allowed retries that the instances use.
+	retryShare = 0.8
+)
+
+// Outside is the platform's side of an instance.
+type Outside struct {
+	Log       outside.Log
+	Decoder   outside.Decoder
+	Dialect   outside.Dialect
+	Control   outside.Control
+	ReadyPath string
+}
+
+// Edge is an entry instance.
+type Edge struct {
+	cfg       setup.Settings
+	out       Outside
+	net       network.Network
+	logger    log.Logger
+	topics    *topics.Topics
+	upstreams *upstreams.Upstreams
+	gossip    *gossip.Gossip
+	duty      *duty.Duty
+	relay     *relay.Relay
+	mesh      *mesh.Mesh
+	budget    *retry.Budget
+	leaving   atomic.Bool
+	conns     atomic.Int64
+}
+
+// NewEdge builds an instance.
+func NewEdge(cfg setup.Settings, out Outside, network network.Network, logger log.Logger) *Edge {
+	part := func(name string) log.Logger { return log.With(logger, "part", name) }
+	self := roster.Member{Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre}
+	e := &Edge{cfg: cfg, out: out, net: network, logger: part("edge")}
+	e.mesh = &mesh.Mesh{Self: self, Client: &http.Client{Transport: network.Transport()}}
+	e.upstreams = &upstreams.Upstreams{
+		Network: network, Decoder: out.Decoder, Now: clock.Now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
+	}
+	e.topics = &topics.Topics{
+		Log: out.Log, Decoder: out.Decoder, Now: clock.Now, Logger: part("topics"),
+		OnUpstreams: e.upstreams.TakeReplicas,
+		OnIntent:    func(in *outside.Intent) { e.upstreams.Configure(in.Table) },
+	}
+	e.duty = &duty.Duty{
+		Name: cfg.Name, Bounds: cfg.Bounds, Log: out.Log, Control: out.Control,
+		Topics: e.topics, Upstreams: e.upstreams, Now: clock.Now, Logger: part("duty"),
+	}
+	e.gossip = &gossip.Gossip{
+		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
+		Now: clock.Now, Logger: part("peers"), Out: e.duty.Out,
+	}
+	e.topics.OnInstances = e.gossip.TakeInstances
+	e.duty.Nudge = e.gossip.Nudge
+	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
+	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
+	e.relay = &relay.Relay{
+		Settings: cfg, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
+		Budget: e.budget, Now: clock.Now, Logger: part("relay"),
+	}
+	return e
+}
+
+// assumedMembers is the number of instances that share the slack of retries.
+const assumedMembers = 12
+
+// Run serves until ctx ends, then stops gracefully.
+func (e *Edge) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	e.gossip.Attach()
+	front := &http.Server{
+		Handler: e.relay, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader,
+		ConnState: e.countConns, ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+e.out.ReadyPath, e.answerReady)
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, e.mesh.Accept())
+	errs := make(chan error, 3)
+	for _, s := range []struct {
+		server *http.Server
+		listen func() (net.Listener, error)
+	}{
+		{front, func() (net.Listener, error) { return e.net.Listen(e.cfg.Front) }},
+		{&http.Server{Handler: ready, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}, func() (net.Listener, error) { return e.net.Listen(e.cfg.Ready) }},
+		{&http.Server{Handler: peers, ReadHeaderTimeout: headerLimit}, func() (net.Listener, error) { return e.net.Listen(e.cfg.Peers) }},
+	} {
+		ln, err := listenRetrying(s.listen)
+		if err != nil {
+			return fmt.Errorf("listening: %w", err)
+		}
+		go func() { errs <- s.server.Serve(ln) }()
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { e.topics.Run(work) })
+	wg.Go(func() { e.gossip.Run(work) })
+	wg.Go(func() { e.duty.Run(work) })
+	wg.Go(func() { e.upstreams.FollowStores(work, e.out.Control) })
+	wg.Go(func() { e.announce(work) })
+	_ = e.logger.Log("msg", "The instance serves.", "front", e.cfg.Front, "data-centre", e.cfg.DataCentre)
+	select {
+	case err := <-errs:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+	}
+	e.shutDown(front)
+	stop()
+	e.mesh.Close()
+	return nil
+}
+
+func listenRetrying(listen func() (net.Listener, error)) (net.Listener, error) {
+	for n := 1; ; n++ {
+		ln, err := listen()
+		if err == nil || n == listenTries {
+			return ln, err
+		}
+		time.Sleep(listenRetry)
+	}
+}
+
+// announce writes this instance's record until it is accepted.
+func (e *Edge) announce(ctx context.Context) {
+	raw, err := e.gossip.Record()
+	if err != nil {
+		_ = e.logger.Log("msg", "The instance's record can't be written.", "err", err)
+		return
+	}
+	for ctx.Err() == nil && e.out.Log.Put(ctx, e.cfg.Name, raw) != nil {
+		timer := time.NewTimer(announceEvery)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (e *Edge) countConns(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		e.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		e.conns.Add(-1)
+	}
+}
+
+// answerReady tells the balancer whether this instance should get connections.
+func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
+	limit := time.Duration(readyShare * float64(e.cfg.Bounds.Revoke))
+	age, proven := e.topics.ProofAge(clock.Now())
+	if e.leaving.Load() || e.topics.Intent() == nil || !proven || age > limit {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// shutDown turns the instance unready, serves what still comes, and ends when
+// no connection is left or the grace is over.
+func (e *Edge) shutDown(front *http.Server) {
+	began := clock.Now()
+	e.leaving.Store(true)
+	e.relay.Leave()
+	e.gossip.Leave()
+	_ = e.logger.Log("msg", "The instance is leaving.", "in-flight", e.relay.InFlight(), "connections", e.conns.Load())
+	leave, cancel := context.WithTimeout(context.Background(), time.Second)
+	e.duty.Leave(leave)
+	cancel()
+	for clock.Now().Sub(began) < unreadyWait || e.conns.Load() > 0 {
+		if clock.Now().Sub(began) > e.cfg.Bounds.Grace/2 {
+			break
+		}
+		time.Sleep(listenRetry)
+	}
+	// Idle connections are closed now; running requests end.
+	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Bounds.Grace-stopMargin-clock.Now().Sub(began))
+	defer cancel()
+	if err := front.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+		_ = e.logger.Log("msg", "Requests still ran when the grace was over.", "in-flight", e.relay.InFlight())
+	}
+	_ = e.logger.Log("msg", "The instance has stopped.")
+}
--- /dev/null
+++ b/entry/gossip/gossip.go
@@ -0,0 +1,258 @@
+// Package gossip finds the other entry instances and shares state with them:
+// how fresh each view is, the work in flight, and replicas that change weights.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/roster"
+	"crocusfold.dev/entry/mesh"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/upstreams"
+)
+
+// Times of the exchange.
+const (
+	// every is the pause between two exchanges with a peer.
+	every = 400 * time.Millisecond
+	// callLimit bounds one exchange.
+	callLimit = 500 * time.Millisecond
+	// slowest is the pause between tries at a peer that does not answer.
+	slowest = 2 * time.Second
+	// memberLife is how long a silent peer still counts as one that shares limits.
+	memberLife = 30 * time.Second
+)
+
+// Gossip is safe for concurrent use. The exported fields must be set before Run.
+type Gossip struct {
+	Self      roster.Member
+	Seeds     []netip.AddrPort
+	Mesh      *mesh.Mesh
+	Topics    *topics.Topics
+	Upstreams *upstreams.Upstreams
+	Now       func() time.Time
+	Logger    log.Logger
+	// Out returns the replicas that this instance takes out of use.
+	Out func() []string
+
+	mu      sync.Mutex
+	peers   map[netip.AddrPort]*peer
+	leaving bool
+	nudge   chan struct{}
+}
+
+type peer struct {
+	roster.Member
+	heard  time.Time
+	added  time.Time
+	failed int
+	next   time.Time
+	busy   bool
+}
+
+// Attach answers the exchanges of peers.
+func (g *Gossip) Attach() {
+	g.nudge = make(chan struct{}, 1)
+	g.peers = map[netip.AddrPort]*peer{}
+	g.Mesh.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
+		now := g.Now()
+		switch m := msg.(type) {
+		case message.Gossip:
+			g.hear(now, m)
+			return g.state(now), true, nil
+		case message.ViewAsk:
+			c, _ := g.Topics.Copy(now, outside.Topic(m.Topic))
+			return c, true, nil
+		default:
+			return nil, false, nil
+		}
+	})
+}
+
+// TakeInstances applies changes of the list of instances.
+func (g *Gossip) TakeInstances(changed []feed.Record) {
+	now := g.Now()
+	for _, rec := range changed {
+		var m roster.Member
+		if len(rec.Value) == 0 || json.Unmarshal(rec.Value, &m) != nil {
+			continue
+		}
+		g.add(now, m)
+	}
+}
+
+// Record is this instance's entry in the list of instances.
+func (g *Gossip) Record() ([]byte, error) { return json.Marshal(g.Self) }
+
+// Leave tells peers from now on that this instance is leaving.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.Nudge()
+}
+
+// Nudge starts an exchange with all peers at once.
+func (g *Gossip) Nudge() {
+	select {
+	case g.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gossip) add(now time.Time, m roster.Member) {
+	if !m.Address.IsValid() || m.Address == g.Self.Address {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[m.Address]
+	if !ok {
+		p = &peer{added: now}
+		g.peers[m.Address] = p
+	}
+	if m.Name != "" {
+		p.Member = m
+	} else if p.Address != m.Address {
+		p.Member = roster.Member{Name: m.Address.String(), Address: m.Address}
+	}
+}
+
+// Run exchanges state with all peers until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	for _, seed := range g.Seeds {
+		g.add(g.Now(), roster.Member{Address: seed})
+	}
+	const tick = every / 4
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.nudge:
+			all = true
+		case <-timer.C:
+		}
+		now := g.Now()
+		g.Upstreams.Sweep(now)
+		for _, p := range g.due(now, all) {
+			go g.exchange(ctx, p)
+		}
+	}
+}
+
+// due returns the peers to exchange with now.
+func (g *Gossip) due(now time.Time, all bool) []*peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*peer
+	members := 1
+	for address, p := range g.peers {
+		silent := now.Sub(p.added)
+		if !p.heard.IsZero() {
+			silent = now.Sub(p.heard)
+		}
+		if silent > memberLife {
+			delete(g.peers, address)
+			continue
+		}
+		members++
+		if p.busy || !all && now.Before(p.next) {
+			continue
+		}
+		p.busy = true
+		out = append(out, p)
+	}
+	g.Upstreams.SetMembers(members)
+	return out
+}
+
+func (g *Gossip) exchange(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	sent := g.Now()
+	g.mu.Lock()
+	to := p.Member
+	g.mu.Unlock()
+	ans, err := mesh.Ask[message.Gossip](ctx, g.Mesh, to, g.state(sent))
+	now := g.Now()
+	g.note(now, p, err)
+	if err != nil {
+		return
+	}
+	g.hear(now, ans)
+	for _, topic := range g.Topics.Hear(now, sent, ans.Views) {
+		g.pull(ctx, to, topic)
+	}
+}
+
+// pull asks a peer for the records of a topic that this instance can't read.
+func (g *Gossip) pull(ctx context.Context, from roster.Member, topic outside.Topic) {
+	sent := g.Now()
+	c, err := mesh.Ask[message.ViewCopy](ctx, g.Mesh, from, message.ViewAsk{Topic: int(topic)})
+	if err != nil {
+		_ = g.Logger.Log("msg", "A peer's view did not arrive.", "peer", from.Name, "topic", int(topic), "err", err)
+		return
+	}
+	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", int(topic), "next", c.Next, "age", c.ProofAge)
+	g.Topics.Merge(sent, topic, c)
+}
+
+func (g *Gossip) note(now time.Time, p *peer, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.busy = false
+	if err == nil {
+		if p.failed > 0 {
+			_ = g.Logger.Log("msg", "A peer answers again.", "peer", p.Name)
+		}
+		p.failed, p.heard, p.next = 0, now, now.Add(every)
+		return
+	}
+	if p.failed == 0 {
+		_ = g.Logger.Log("msg", "A peer does not answer.", "peer", p.Name, "err", err)
+	}
+	p.failed++
+	p.next = now.Add(min(every<<min(p.failed, 8), slowest))
+}
+
+func (g *Gossip) hear(now time.Time, m message.Gossip) {
+	g.add(now, roster.Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Leaving: m.Leaving})
+	for _, known := range m.Known {
+		g.mu.Lock()
+		_, ok := g.peers[known.Address]
+		g.mu.Unlock()
+		if !ok {
+			g.add(now, known)
+		}
+	}
+	g.Upstreams.Hear(now, m)
+}
+
+func (g *Gossip) state(now time.Time) message.Gossip {
+	m := message.Gossip{
+		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
+		Views: g.Topics.Views(now), Out: g.Out(),
+	}
+	g.Upstreams.Tell(&m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.Leaving = g.leaving
+	for _, p := range g.peers {
+		if !p.heard.IsZero() && now.Sub(p.heard) < slowest {
+			m.Known = append(m.Known, p.Member)
+		}
+	}
+	return m
+}
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -2,15 +2,18 @@
 package message
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/change"
+	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/freshness"
 	"crocusfold.dev/core/order"
 	"crocusfold.dev/core/quota"
+	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/shell/codec"
 )
@@ -186,6 +189,64 @@
 	Release bool `json:"release"`
 }
 
+// Gossip tells an instance's state to another, which answers with its own.
+type Gossip struct {
+	Name       string         `json:"name"`
+	DataCentre string         `json:"data-centre"`
+	Address    netip.AddrPort `json:"address"`
+	Leaving    bool           `json:"leaving"`
+	// Views are those of the operators' records and of the list of replicas.
+	Views []ViewState `json:"views"`
+	// Loads is the work that the sender has in flight.
+	Loads []ReplicaLoad `json:"loads"`
+	// Out lists the replicas that get no new work because their weights are
+	// about to change; only the holder of the duty names some.
+	Out []string `json:"out"`
+	// Loaded lists the replicas whose weights changed lately.
+	Loaded []ReplicaVersion `json:"loaded"`
+	// Known lists the instances that the sender knows.
+	Known []roster.Member `json:"known"`
+}
+
+// ViewState says how far a topic was read and how old the proof is that it was
+// complete; a negative age means that there is none.
+type ViewState struct {
+	_        struct{} `cbor:",toarray"`
+	Next     uint64
+	ProofAge time.Duration
+}
+
+// ReplicaLoad is one instance's work in flight at a replica.
+type ReplicaLoad struct {
+	_       struct{} `cbor:",toarray"`
+	Replica string
+	Running int
+	Tokens  int
+}
+
+// ReplicaVersion is the weight version of a model at a replica.
+type ReplicaVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Replica string
+	Model   string
+	Version int
+}
+
+// ViewAsk asks for all records of a topic; answered by ViewCopy.
+type ViewAsk struct {
+	Topic int `json:"topic"`
+}
+
+// ViewCopy holds the records of a topic.
+type ViewCopy struct {
+	Records  []feed.Record `json:"records"`
+	Next     uint64        `json:"next"`
+	ProofAge time.Duration `json:"proof-age"`
+}
+
+func (Gossip) message()      {}
+func (ViewAsk) message()     {}
+func (ViewCopy) message()    {}
 func (Ack) message()         {}
 func (Heartbeat) message()   {}
 func (Report) message()      {}
@@ -237,4 +298,7 @@
 	codec.Case(22, func(m HeldReply) Message { return m }),
 	codec.Case(23, func(m ContentLock) Message { return m }),
 	codec.Case(24, func(m LoadPermit) Message { return m }),
+	codec.Case(25, func(m Gossip) Message { return m }),
+	codec.Case(26, func(m ViewAsk) Message { return m }),
+	codec.Case(27, func(m ViewCopy) Message { return m }),
 )
--- /dev/null
+++ b/entry/relay/forward.go
@@ -0,0 +1,342 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"crocusfold.dev/core/attempt"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/entry/guard"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/upstreams"
+)
+
+// Bounds on the tries of one request.
+const (
+	// maxTries bounds the replicas that one request is offered to.
+	maxTries = 4
+	// placeEvery is the pause between two looks for a replica with room.
+	placeEvery = 15 * time.Millisecond
+	// waitShare is the part of the route's target that a request may wait here
+	// for room before it is refused.
+	waitShare = 0.5
+	// waitDefault is that time for routes without a target.
+	waitDefault = 150 * time.Millisecond
+)
+
+// Times to come back, by the reason of a refusal.
+var comeBack = map[pool.Reason]time.Duration{
+	pool.NoReplica: time.Second,
+	pool.Reloading: 400 * time.Millisecond,
+	pool.Cold:      500 * time.Millisecond,
+	pool.Failing:   600 * time.Millisecond,
+	pool.Full:      400 * time.Millisecond,
+}
+
+// Failures of one try.
+var (
+	errRefused = errors.New("the replica refused the request without running it")
+	errCrossed = errors.New("the answer belongs to another request")
+	errErred   = errors.New("the replica answered with a failure")
+)
+
+// forward offers the request to replicas until one answers.
+func (c *call) forward() *refusal {
+	for {
+		t, ref := c.place()
+		if ref != nil {
+			return ref
+		}
+		c.note.tries++
+		done, run, err := c.try(t)
+		c.relay.Upstreams.End(t)
+		if done {
+			return nil
+		}
+		c.tried[t.ID] = true
+		if ref := c.afterFailure(run, err); ref != nil {
+			return ref
+		}
+	}
+}
+
+// afterFailure returns the final answer after a failed try, or nil if the
+// request may be tried again.
+func (c *call) afterFailure(run attempt.Run, err error) *refusal {
+	if c.r.Context().Err() != nil {
+		return &refusal{code: "caller-left", abort: true}
+	}
+	if run != attempt.NotRun {
+		c.runs++
+	}
+	expired := c.ctx.Err() != nil
+	again := run == attempt.NotRun || c.route.Repeatable() && c.runs < c.route.MaxAttempts
+	if again && !expired && c.note.tries < maxTries {
+		// A replica that was never reached counts as no arrival.
+		if run == attempt.NotRun && !errors.Is(err, errRefused) || c.relay.Budget.Withdraw() {
+			return nil
+		}
+	}
+	if run == attempt.NotRun && c.runs == 0 {
+		code := "no-replica-took-it"
+		if expired {
+			code = "not-started-in-time"
+		}
+		return notRun(code, comeBack[pool.Failing])
+	}
+	if expired {
+		return &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
+	}
+	return &refusal{status: http.StatusBadGateway, code: "answer-lost"}
+}
+
+// place waits for a replica with room, but no longer than is of use.
+func (c *call) place() (*upstreams.Ticket, *refusal) {
+	wait := waitDefault
+	if c.route.Target > 0 {
+		wait = time.Duration(waitShare * float64(c.route.Target))
+	}
+	job := c.job()
+	for {
+		now := c.relay.Now()
+		t, reason := c.relay.Upstreams.Place(now, job)
+		if reason == "" {
+			c.note.replica, c.note.version = t.ID, t.Version
+			c.note.placed = now.Sub(c.began)
+			return t, nil
+		}
+		if now.Sub(c.began) > wait || reason == pool.NoReplica {
+			if c.runs > 0 {
+				return nil, &refusal{status: http.StatusBadGateway, code: "answer-lost"}
+			}
+			return nil, notRun(string(reason), comeBack[reason])
+		}
+		timer := time.NewTimer(placeEvery)
+		select {
+		case <-timer.C:
+		case <-c.ctx.Done():
+			timer.Stop()
+			if c.r.Context().Err() != nil {
+				return nil, &refusal{code: "caller-left", abort: true}
+			}
+			return nil, notRun("not-started-in-time", comeBack[reason])
+		}
+	}
+}
+
+func (c *call) job() upstreams.Job {
+	j := upstreams.Job{Request: pool.Request{
+		Service: c.service.Name, ColdRate: c.service.ColdRate, Closed: c.intent.Closed, Tried: c.tried,
+	}}
+	if c.service.Engine == nil || c.ask.Model == "" {
+		return j
+	}
+	j.Model, j.Memory = c.ask.Model, c.service.Engine.Memory
+	j.Tokens, j.Reading = c.ask.Input+c.ask.Output, c.ask.Input
+	j.Pieces, j.Input = c.ask.Pieces, c.ask.Input
+	if n := len(c.ask.Pieces); n > 0 {
+		j.Home = c.ask.Pieces[max(0, n-2)].ID
+	}
+	if c.account.Isolated {
+		j.Wall = c.account.Name
+	}
+	return j
+}
+
+// try offers the request to one replica. done is true if the caller has been
+// answered.
+func (c *call) try(t *upstreams.Ticket) (done bool, run attempt.Run, err error) {
+	up := c.relay.Upstreams
+	att := &attempt.Attempt{}
+	resp, err := t.Transport.RoundTrip(c.request(guard.With(c.ctx, att), t))
+	now := c.relay.Now()
+	if err != nil {
+		// No write may follow what is said of the request from here on.
+		att.Revoke()
+		if c.ctx.Err() == nil {
+			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
+			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
+		}
+		return false, att.Run(), err
+	}
+	defer resp.Body.Close()
+	reply := c.relay.Dialect.Reply(resp.StatusCode, resp.Header)
+	c.learn(now, t, reply)
+	if err := c.check(now, t, resp, reply); err != nil {
+		_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "status", resp.StatusCode, "err", err)
+		if errors.Is(err, errRefused) {
+			att.Refused()
+			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+		}
+		return false, att.Run(), err
+	}
+	up.FirstAnswer(now, t)
+	c.note.firstByte = now.Sub(c.began)
+	c.pass(t, resp)
+	return true, attempt.Ran, nil
+}
+
+// learn takes what an answer says of its replica.
+func (c *call) learn(now time.Time, t *upstreams.Ticket, reply outside.Reply) {
+	up := c.relay.Upstreams
+	if reply.Loaded {
+		up.With(func(p *pool.Pool) { p.Report(now, t.ID, reply.Running, reply.Waiting) })
+	}
+	if reply.KeepAlive > 0 {
+		up.KeepAlive(t.ID, reply.KeepAlive)
+	}
+	if reply.Version > t.Version && t.Version > 0 {
+		up.Loaded(now, message.ReplicaVersion{Replica: t.ID, Model: c.ask.Model, Version: reply.Version})
+	}
+}
+
+// check decides whether an answer may be passed on.
+func (c *call) check(now time.Time, t *upstreams.Ticket, resp *http.Response, reply outside.Reply) error {
+	up := c.relay.Upstreams
+	switch {
+	case reply.Elsewhere && reply.Replica != "" && reply.Replica != t.ID:
+		up.With(func(p *pool.Pool) { p.Misdirected(now, t.ID) })
+		return errRefused
+	case reply.Refused:
+		up.With(func(p *pool.Pool) { p.Refused(now, t.ID) })
+		return errRefused
+	case reply.ID != c.ask.ID && (reply.ID != "" || resp.StatusCode < http.StatusMultipleChoices):
+		up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
+		return errCrossed
+	case resp.Header.Get("Content-Encoding") != "":
+		up.With(func(p *pool.Pool) { p.Erred(t.ID) })
+		return fmt.Errorf("the answer is encoded as %q, which nobody asked for", resp.Header.Get("Content-Encoding"))
+	case resp.StatusCode >= http.StatusInternalServerError:
+		up.With(func(p *pool.Pool) { p.Erred(t.ID) })
+		if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.ctx.Err() == nil {
+			return errErred
+		}
+	}
+	return nil
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func dropHopHeaders(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// request builds the request for a replica.
+func (c *call) request(ctx context.Context, t *upstreams.Ticket) *http.Request {
+	h := c.r.Header.Clone()
+	dropHopHeaders(h)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+	priority := c.route.Priority
+	if c.account.Ranked {
+		priority = c.account.Priority
+	}
+	c.relay.Dialect.Prepare(h, outside.Offer{
+		Replica: t.ID, Left: c.deadline.Sub(c.relay.Now()), Account: c.account.Name,
+		Salt: t.Salt, Version: t.Version, Priority: priority,
+		Fetch: t.Fetch, Save: t.Save, FetchUntil: t.FetchUntil,
+	})
+	path, query, _ := strings.Cut(c.r.RequestURI, "?")
+	out := &http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: h, ContentLength: int64(len(c.body)),
+		URL:   &url.URL{Scheme: "http", Host: t.Address.String(), Opaque: path, RawQuery: query},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	out.Body = http.NoBody
+	if len(c.body) > 0 || repeatedByTransport(c.r) {
+		// A body that the transport can't read twice keeps it from repeating the
+		// request by itself.
+		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	return out.WithContext(ctx)
+}
+
+// repeatedByTransport reports whether net/http takes a request without a body
+// for one that it may send again.
+func repeatedByTransport(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
+// buffers are reused between answers.
+var buffers = sync.Pool{New: func() any { return new([8 << 10]byte) }}
+
+// pass copies the answer to the caller as it comes. If it breaks off, the
+// caller's connection is closed so that the answer does not look complete.
+func (c *call) pass(t *upstreams.Ticket, resp *http.Response) {
+	h := c.w.Header()
+	closing := h.Get("Connection")
+	dropHopHeaders(resp.Header)
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	c.note.status = resp.StatusCode
+	c.w.WriteHeader(resp.StatusCode)
+	buf := buffers.Get().(*[8 << 10]byte)
+	defer buffers.Put(buf)
+	flusher := http.NewResponseController(c.w)
+	flush := resp.ContentLength < 0
+	for {
+		n, err := resp.Body.Read(buf[:])
+		if n > 0 {
+			_, werr := c.w.Write(buf[:n])
+			if werr == nil && flush {
+				werr = flusher.Flush()
+			}
+			if werr != nil {
+				c.breakOff(t, "caller-left", false)
+				return
+			}
+		}
+		if err == io.EOF {
+			c.note.outcome = "ok"
+			c.relay.Upstreams.With(func(p *pool.Pool) { p.Succeeded(t.ID) })
+			return
+		}
+		if err != nil {
+			c.breakOff(t, "answer-broke-off", true)
+			return
+		}
+	}
+}
+
+// breakOff ends an answer that can't be completed.
+func (c *call) breakOff(t *upstreams.Ticket, outcome string, byReplica bool) {
+	now := c.relay.Now()
+	switch {
+	case c.r.Context().Err() != nil:
+		outcome = "caller-left"
+	case c.ctx.Err() != nil:
+		outcome = "timeout"
+	case byReplica:
+		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
+	}
+	c.note.outcome, c.abort = outcome, true
+}
--- /dev/null
+++ b/entry/relay/relay.go
@@ -0,0 +1,253 @@
+// Package relay serves the requests of callers: it finds their route and
+// account, chooses a replica, and passes the answer on as it comes.
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/retry"
+	"crocusfold.dev/core/route"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/setup"
+	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/upstreams"
+)
+
+// Limits of a request.
+const (
+	// freshMargin is taken off the time that a revoked key may be served, for
+	// the way of the request and the clocks.
+	freshMargin = 400 * time.Millisecond
+	// defaultPatience is the time that a request has if nobody says.
+	defaultPatience = 30 * time.Second
+	// defaultBody bounds a body if the configuration does not, in bytes.
+	defaultBody = 4 << 20
+)
+
+// Relay is the HTTP handler for callers. The exported fields must be set
+// before it serves.
+type Relay struct {
+	Settings  setup.Settings
+	Dialect   outside.Dialect
+	Topics    *topics.Topics
+	Upstreams *upstreams.Upstreams
+	Budget    *retry.Budget
+	Now       func() time.Time
+	Logger    log.Logger
+
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// Leave makes each answer from now on the last one of its connection.
+func (rl *Relay) Leave() { rl.leaving.Store(true) }
+
+// InFlight is the number of requests that are being served.
+func (rl *Relay) InFlight() int { return int(rl.inFlight.Load()) }
+
+// call is one request of a caller.
+type call struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	began   time.Time
+	intent  *outside.Intent
+	route   *route.Route
+	account route.Account
+	ask     outside.Ask
+	body    []byte
+	service route.Service
+	// deadline is when the caller or the route gives up.
+	deadline time.Time
+	tried    map[string]bool
+	// runs is the number of replicas that may have run the request.
+	runs int
+	// abort closes the caller's connection, since no whole answer can be given.
+	abort bool
+	note  note
+}
+
+// note is what the log tells of a request.
+type note struct {
+	replica, store, outcome string
+	version, tries, status  int
+	proofAge, firstByte     time.Duration
+	placed                  time.Duration
+}
+
+// ServeHTTP serves one request.
+func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rl.inFlight.Add(1)
+	defer rl.inFlight.Add(-1)
+	c := &call{relay: rl, w: w, r: r, began: rl.Now(), tried: map[string]bool{}}
+	// net/http does not tell whether a chunked request also had a length, which
+	// could hide a second request behind it; so nothing is read after it.
+	if rl.leaving.Load() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	ref := c.admit()
+	if ref == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(rl.Now()))
+		defer cancel()
+		c.ctx = ctx
+		ref = c.forward()
+	}
+	if ref != nil {
+		c.refuse(ref)
+	}
+	c.log()
+	if c.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit finds what the request is and whether it may run.
+func (c *call) admit() *refusal {
+	rl := c.relay
+	c.intent = rl.Topics.Intent()
+	c.ask = rl.Dialect.Ask(c.r.Header)
+	if c.intent == nil {
+		return notRun("no-configuration", time.Second)
+	}
+	table := c.intent.Table
+	var ok bool
+	if c.route, ok = table.Match(c.r.Host, c.r.URL.Path); !ok {
+		return &refusal{status: http.StatusNotFound, code: "route-unknown"}
+	}
+	if ref := c.identify(table); ref != nil {
+		return ref
+	}
+	if ref := c.readBody(table); ref != nil {
+		return ref
+	}
+	c.service = table.Services[c.route.Pick(xxhash.Sum64String(c.ask.ID))]
+	c.deadline = c.began.Add(defaultPatience)
+	if c.ask.Patience > 0 {
+		c.deadline = c.began.Add(c.ask.Patience)
+	}
+	if limit := c.began.Add(c.route.Timeout); c.route.Timeout > 0 && limit.Before(c.deadline) {
+		c.deadline = limit
+	}
+	rl.Budget.Deposit()
+	return nil
+}
+
+// identify finds the account of the key. A key may have been revoked since the
+// configuration was last proven current, so an old proof is not enough.
+func (c *call) identify(table *route.Table) *refusal {
+	age, proven := c.relay.Topics.ProofAge(c.began)
+	c.note.proofAge = age
+	if !table.Keyed {
+		return nil
+	}
+	a, known := table.Account(c.ask.Key)
+	if c.route.Public {
+		return nil
+	}
+	if !proven || age > c.relay.Settings.Bounds.Revoke-freshMargin {
+		return notRun("configuration-not-proven", time.Second)
+	}
+	if !known {
+		return &refusal{status: http.StatusUnauthorized, code: "key-unknown"}
+	}
+	c.account = a
+	return nil
+}
+
+func (c *call) readBody(table *route.Table) *refusal {
+	if c.r.ContentLength == 0 || c.r.Body == nil {
+		return nil
+	}
+	limit := table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if c.r.ContentLength > int64(limit) {
+		c.w.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	}
+	body, err := readAll(io.LimitReader(c.r.Body, int64(limit)+1), c.r.ContentLength)
+	if err != nil {
+		// The caller broke off; nothing can be answered.
+		return &refusal{code: "body-broken", abort: true}
+	}
+	if len(body) > limit {
+		c.w.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	}
+	c.body = body
+	return nil
+}
+
+// readAll reads a body whose length may be known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// refusal is the final answer to a request that is given up.
+type refusal struct {
+	status int
+	code   string
+	// after is when to come back; 0 means that it is of no use.
+	after time.Duration
+	// abort closes the connection in place of an answer.
+	abort bool
+}
+
+// notRun is a refusal of a request that was not run and never will be.
+func notRun(code string, after time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: code, after: after}
+}
+
+// retrySpread is the share by which the time to come back varies, so that
+// callers that were refused together don't return together.
+const retrySpread = 0.5
+
+func (c *call) refuse(ref *refusal) {
+	c.note.outcome, c.note.status = ref.code, ref.status
+	if ref.abort {
+		c.abort = true
+		return
+	}
+	h := c.w.Header()
+	if ref.after > 0 {
+		after := ref.after.Seconds() * (1 + retrySpread*rand.Float64())
+		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+	}
+	h.Set("Content-Type", "application/json")
+	body := `{"error":"` + ref.code + `"}` + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(ref.status)
+	_, _ = io.WriteString(c.w, body)
+}
+
+func (c *call) log() {
+	routeName := ""
+	var version uint64
+	if c.route != nil {
+		routeName = c.route.Name
+	}
+	if c.intent != nil {
+		version = c.intent.Table.Version
+	}
+	_ = c.relay.Logger.Log("id", c.ask.ID, "route", routeName, "account", c.account.Name, "config", version,
+		"proof", c.note.proofAge.Round(time.Millisecond), "replica", c.note.replica, "weights", c.note.version,
+		"tries", c.note.tries, "outcome", c.note.outcome, "status", c.note.status,
+		"placed", c.note.placed.Round(time.Millisecond), "first", c.note.firstByte.Round(time.Millisecond),
+		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
+}
--- /dev/null
+++ b/entry/setup/setup.go
@@ -0,0 +1,43 @@
+// Package setup holds what an entry instance is told when it starts.
+package setup
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Bounds are the times and shares that the system promises to keep.
+type Bounds struct {
+	// Drain is how long a leaving replica may still get work.
+	Drain time.Duration
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace time.Duration
+	// Config is how long a new configuration may take to be in force.
+	Config time.Duration
+	// Revoke is how long a revoked key may still be served.
+	Revoke time.Duration
+	// Lease is the time within which two holders of a duty must not take turns.
+	Lease time.Duration
+	// Version is how long requests may still begin on older weights.
+	Version time.Duration
+	// Contact is the time after a disturbance from which bounds hold again.
+	Contact time.Duration
+	// RetryShare and RetrySlack bound the repeats of all instances together.
+	RetryShare, RetrySlack float64
+	// ColdOvershoot and ColdSlack are allowed on top of a cold replica's rate.
+	ColdOvershoot, ColdSlack float64
+	// MembershipMin is the shortest time to live of a group member.
+	MembershipMin time.Duration
+}
+
+// Settings are one instance's name, addresses and bounds.
+type Settings struct {
+	Name       string
+	DataCentre string
+	// Front is where callers connect, Ready where the balancer asks, and Peers
+	// where the other instances connect.
+	Front, Ready, Peers netip.AddrPort
+	// Seeds are addresses of other instances, which may be stale.
+	Seeds  []netip.AddrPort
+	Bounds Bounds
+}
--- /dev/null
+++ b/entry/topics/topics.go
@@ -0,0 +1,270 @@
+// Package topics follows the platform's topics: what the operators ask for, the
+// replicas and the instances.
+package topics
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/feed"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/outside"
+)
+
+// Times of following a topic.
+const (
+	// operationsWait is how long a read of the operators' records waits. Each
+	// answer proves that the view is complete.
+	operationsWait = time.Second
+	// upstreamsEvery is the pause between reads of the list of replicas, which
+	// changes several times a second.
+	upstreamsEvery = 600 * time.Millisecond
+	// instancesWait is how long a read of the list of instances waits.
+	instancesWait = 20 * time.Second
+	// firstBackoff and longestBackoff bound the pause after a failed read.
+	firstBackoff   = 60 * time.Millisecond
+	longestBackoff = 600 * time.Millisecond
+	// outageAfter is the time without an answer from which entries may have
+	// lapsed although their replicas live.
+	outageAfter = 1500 * time.Millisecond
+	// returnTime is how long replicas have to write their entries again.
+	returnTime = 2200 * time.Millisecond
+)
+
+const topicCount = 3
+
+// Topics is the view of all topics. The exported fields must be set before Run.
+type Topics struct {
+	Log     outside.Log
+	Decoder outside.Decoder
+	Now     func() time.Time
+	Logger  log.Logger
+	// OnUpstreams takes changes of the list of replicas. Removals take effect
+	// at removeAt.
+	OnUpstreams func(now time.Time, changed []feed.Record, removeAt time.Time)
+	// OnInstances takes changes of the list of instances.
+	OnInstances func(changed []feed.Record)
+	// OnIntent takes a new intent.
+	OnIntent func(in *outside.Intent)
+
+	mu     sync.Mutex
+	feeds  [topicCount]feed.Feed
+	intent atomic.Pointer[outside.Intent]
+	// answered is when the list of replicas was last read, returned when it was
+	// first read after an outage.
+	answered, returned time.Time
+}
+
+// Intent returns the intent in force, or nil if none is known yet.
+func (t *Topics) Intent() *outside.Intent { return t.intent.Load() }
+
+// Run follows all topics until ctx ends.
+func (t *Topics) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, topic := range []outside.Topic{outside.Operations, outside.Upstreams, outside.Instances} {
+		wg.Go(func() { t.follow(ctx, topic) })
+	}
+	wg.Wait()
+}
+
+func (t *Topics) follow(ctx context.Context, topic outside.Topic) {
+	backoff := firstBackoff
+	healthy := true
+	for ctx.Err() == nil {
+		err := t.step(ctx, topic)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != healthy {
+			healthy = err == nil
+			t.logDependency(topic, err)
+		}
+		if err != nil {
+			pause(ctx, backoff)
+			backoff = min(2*backoff, longestBackoff)
+			continue
+		}
+		backoff = firstBackoff
+		if topic == outside.Upstreams {
+			pause(ctx, upstreamsEvery)
+		}
+	}
+}
+
+func (t *Topics) logDependency(topic outside.Topic, err error) {
+	if err != nil {
+		_ = t.Logger.Log("msg", "Lost the platform's log.", "topic", int(topic), "err", err)
+		return
+	}
+	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", int(topic))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// step reads a topic once.
+func (t *Topics) step(ctx context.Context, topic outside.Topic) error {
+	t.mu.Lock()
+	loaded, next := t.feeds[topic].Loaded(), t.feeds[topic].Next()
+	t.mu.Unlock()
+	sent := t.Now()
+	if !loaded {
+		return t.load(ctx, topic, sent)
+	}
+	wait := map[outside.Topic]time.Duration{outside.Operations: operationsWait, outside.Instances: instancesWait}[topic]
+	records, end, err := t.Log.Read(ctx, topic, next, wait)
+	if errors.Is(err, outside.ErrForgotten) {
+		return t.load(ctx, topic, sent)
+	}
+	if err != nil {
+		return err
+	}
+	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Append(records, end) })
+	return nil
+}
+
+func (t *Topics) load(ctx context.Context, topic outside.Topic, sent time.Time) error {
+	records, end, err := t.Log.Newest(ctx, topic)
+	if err != nil {
+		return err
+	}
+	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Replace(records, end) })
+	return nil
+}
+
+// take applies a change to a view that was complete at proven.
+func (t *Topics) take(topic outside.Topic, proven time.Time, end uint64, change func(*feed.Feed) []feed.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := &t.feeds[topic]
+	changed := change(f)
+	f.Prove(proven, end)
+	now := t.Now()
+	if topic == outside.Upstreams {
+		t.noteAnswer(now)
+	}
+	if len(changed) == 0 {
+		return
+	}
+	switch topic {
+	case outside.Operations:
+		t.decide(f)
+	case outside.Upstreams:
+		t.OnUpstreams(now, changed, t.removeAt(now))
+	case outside.Instances:
+		t.OnInstances(changed)
+	}
+}
+
+// noteAnswer recognises the end of an outage.
+func (t *Topics) noteAnswer(now time.Time) {
+	if !t.answered.IsZero() && now.Sub(t.answered) > outageAfter {
+		t.returned = now
+	}
+	t.answered = now
+}
+
+// removeAt returns when a replica whose entry is missing is taken as gone.
+// Entries may lapse in an outage, and are written again soon after it.
+func (t *Topics) removeAt(now time.Time) time.Time {
+	if t.returned.IsZero() || now.Sub(t.returned) >= returnTime {
+		return now
+	}
+	return t.returned.Add(returnTime)
+}
+
+func (t *Topics) decide(f *feed.Feed) {
+	in, err := t.Decoder.Intent(f.Records())
+	if err != nil {
+		_ = t.Logger.Log("msg", "The operators' records are not usable; the intent stays.", "next", f.Next(), "err", err)
+		return
+	}
+	if old := t.intent.Load(); old != nil && in.Table.Version < old.Table.Version {
+		_ = t.Logger.Log("msg", "Ignored an older configuration.", "version", in.Table.Version, "in-force", old.Table.Version)
+		in.Table = old.Table
+	}
+	t.intent.Store(&in)
+	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "next", f.Next(), "closed", len(in.Closed))
+	t.OnIntent(&in)
+}
+
+// ProofAge returns how old the proof is that the operators' records are
+// complete here; ok is false if there is none.
+func (t *Topics) ProofAge(now time.Time) (age time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	proof := t.feeds[outside.Operations].Proof()
+	return now.Sub(proof), !proof.IsZero()
+}
+
+// Views returns the state of the operators' records and the list of replicas.
+func (t *Topics) Views(now time.Time) []message.ViewState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []message.ViewState
+	for _, topic := range []outside.Topic{outside.Operations, outside.Upstreams} {
+		out = append(out, viewState(now, &t.feeds[topic]))
+	}
+	return out
+}
+
+func viewState(now time.Time, f *feed.Feed) message.ViewState {
+	v := message.ViewState{Next: f.Next(), ProofAge: -1}
+	if f.Loaded() && !f.Proof().IsZero() {
+		v.ProofAge = max(0, now.Sub(f.Proof()))
+	}
+	return v
+}
+
+// Copy returns the records of a topic for a peer.
+func (t *Topics) Copy(now time.Time, topic outside.Topic) (message.ViewCopy, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if topic < 0 || int(topic) >= topicCount {
+		return message.ViewCopy{}, false
+	}
+	f := &t.feeds[topic]
+	v := viewState(now, f)
+	return message.ViewCopy{Records: f.Records(), Next: v.Next, ProofAge: v.ProofAge}, f.Loaded()
+}
+
+// Hear takes a peer's views, asked for at sent. It returns the topics whose
+// records should be asked for because this instance can't read them itself.
+func (t *Topics) Hear(now, sent time.Time, views []message.ViewState) []outside.Topic {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var behind []outside.Topic
+	for i, topic := range []outside.Topic{outside.Operations, outside.Upstreams} {
+		if i >= len(views) || views[i].ProofAge < 0 {
+			continue
+		}
+		f := &t.feeds[topic]
+		if f.Loaded() && f.Next() >= views[i].Next {
+			f.Prove(sent.Add(-views[i].ProofAge), views[i].Next)
+			continue
+		}
+		if !f.Loaded() || now.Sub(f.Proof()) > operationsWait {
+			behind = append(behind, topic)
+		}
+	}
+	return behind
+}
+
+// Merge takes a peer's copy of a topic, asked for at sent.
+func (t *Topics) Merge(sent time.Time, topic outside.Topic, c message.ViewCopy) {
+	if c.ProofAge < 0 {
+		return
+	}
+	t.take(topic, sent.Add(-c.ProofAge), c.Next, func(f *feed.Feed) []feed.Record { return f.Replace(c.Records, c.Next) })
+}
--- /dev/null
+++ b/entry/upstreams/stores.go
@@ -0,0 +1,123 @@
+package upstreams
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"crocusfold.dev/core/directory"
+	"crocusfold.dev/entry/outside"
+)
+
+// Times of following the stores.
+const (
+	// eventsWait is how long a read of a store's events waits.
+	eventsWait = time.Second
+	// eventsEvery is the least time between two reads, which bounds their cost.
+	eventsEvery = 120 * time.Millisecond
+	// listEvery is how often the whole contents are compared, since events get lost.
+	listEvery = 7 * time.Second
+	// listAfterGap is the least time between two lists.
+	listAfterGap = time.Second
+	// storeBackoff is the pause after a store could not be reached.
+	storeBackoff = 400 * time.Millisecond
+)
+
+// FollowStores keeps the directory up to date until ctx ends.
+func (u *Upstreams) FollowStores(ctx context.Context, control outside.Control) {
+	running := map[string]context.CancelFunc{}
+	ticker := time.NewTicker(listAfterGap)
+	defer ticker.Stop()
+	for {
+		stores := u.Stores()
+		for name, stop := range running {
+			if _, ok := stores[name]; !ok {
+				stop()
+				delete(running, name)
+			}
+		}
+		for name, address := range stores {
+			if _, ok := running[name]; !ok {
+				follow, stop := context.WithCancel(ctx)
+				running[name] = stop
+				go u.followStore(follow, control, name, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stores returns the addresses of the stores by name.
+func (u *Upstreams) Stores() map[string]netip.AddrPort {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[string]netip.AddrPort, len(u.stores))
+	for name, address := range u.stores {
+		out[name] = address
+	}
+	return out
+}
+
+func (u *Upstreams) followStore(ctx context.Context, control outside.Control, name string, address netip.AddrPort) {
+	var listed time.Time
+	for ctx.Err() == nil {
+		began := u.Now()
+		err := u.readStore(ctx, control, name, address, &listed)
+		rest := eventsEvery - u.Now().Sub(began)
+		if err != nil && ctx.Err() == nil {
+			_ = u.Logger.Log("msg", "A store of context can't be read.", "store", name, "err", err)
+			u.Directory(func(d *directory.Directory) { d.Forget(name) })
+			listed = time.Time{}
+			rest = storeBackoff
+		}
+		sleep(ctx, rest)
+	}
+}
+
+func (u *Upstreams) readStore(ctx context.Context, control outside.Control, name string, address netip.AddrPort, listed *time.Time) error {
+	now := u.Now()
+	synced := false
+	var epoch, next uint64
+	u.Directory(func(d *directory.Directory) {
+		synced = d.Synced(name)
+		epoch, next = d.Position(name)
+	})
+	age := now.Sub(*listed)
+	if listed.IsZero() || age > listEvery || !synced && age > listAfterGap {
+		l, clock, err := control.List(ctx, address)
+		if err != nil {
+			return err
+		}
+		*listed = now
+		u.SetClock(now, clock)
+		u.Directory(func(d *directory.Directory) { d.Replace(name, l) })
+		return nil
+	}
+	ev, err := control.Events(ctx, address, next, eventsWait)
+	if err != nil {
+		return err
+	}
+	u.SetClock(now, ev.Clock)
+	if ev.Epoch != epoch {
+		_ = u.Logger.Log("msg", "A store of context has restarted.", "store", name, "epoch", ev.Epoch)
+		*listed = time.Time{}
+	}
+	u.Directory(func(d *directory.Directory) { d.Apply(name, ev.Epoch, ev.Next, ev.Lost, ev.Events) })
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/shell/clock/clock.go
@@ -0,0 +1,19 @@
+// Package clock reads a clock that also counts the time in which the machine
+// was suspended, so that leases and proofs grow old meanwhile.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the machine's start as a time. It never jumps and
+// has no relation to the time of day.
+func Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("reading the clock: " + err.Error())
+	}
+	return time.Unix(ts.Sec, ts.Nsec)
+}
--- a/shell/network/network.go
+++ b/shell/network/network.go
@@ -8,7 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits of connections.
@@ -18,6 +21,29 @@
 	maxIdlePerHost = 128
 )
 
+// Detection of connections that went silent without a reset. A peer that
+// acknowledges nothing for silenceLimit loses the connection.
+const (
+	silenceLimit = 1500 * time.Millisecond
+	probeAfter   = time.Second
+	probeEvery   = 500 * time.Millisecond
+	probes       = 3
+)
+
+// boundSilence sets the time after which unacknowledged data ends a connection.
+func boundSilence(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
+	}); cerr != nil {
+		return fmt.Errorf("reaching a socket: %w", cerr)
+	}
+	if err != nil {
+		return fmt.Errorf("bounding the silence of a connection: %w", err)
+	}
+	return nil
+}
+
 // Network listens and dials.
 type Network struct {
 	// ListenOn replaces net.Listen.
@@ -45,7 +71,9 @@
 	if n.DialTo != nil {
 		return n.DialTo(ctx, address)
 	}
-	var d net.Dialer
+	d := net.Dialer{Control: boundSilence, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes,
+	}}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
