Save parts also while an event of a store is missing

Cause: a part was saved only to a store whose events had no gap. Change: a store needs one list in its epoch before parts are saved to it. Peers without a shared token accept each other; 401s kept all of them apart.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -63,6 +63,8 @@
 	capacity int
 	epoch    uint64
 	next     uint64
+	// listed is true once the contents were read in this epoch.
+	listed bool
 	// synced is false until a listing was read after a gap in the events.
 	synced  bool
 	held    map[Part]int
@@ -147,7 +149,7 @@
 	if l.Epoch != s.epoch {
 		s.reset(l.Epoch)
 	}
-	s.next, s.synced, s.held = l.Next, true, l.Held
+	s.next, s.listed, s.synced, s.held = l.Next, true, true, l.Held
 	s.used = 0
 	for _, tokens := range l.Held {
 		s.used += blocks(tokens)
@@ -230,7 +232,7 @@
 	best, top := "", 0.0
 	for name, s := range d.shelves {
 		room := s.room(now)
-		if !s.synced || room < blocks(tokens) {
+		if !s.listed || room < blocks(tokens) {
 			continue
 		}
 		// Weighted rendezvous: stores fill in proportion to their free space.
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -110,7 +110,7 @@
 		now := c.relay.Now()
 		t, reason := c.relay.Upstreams.Place(now, job)
 		if reason == "" {
-			c.note.replica, c.note.version = t.ID, t.Version
+			c.note.replica, c.note.version, c.note.context = t.ID, t.Version, t.Context()
 			c.note.placed = now.Sub(c.began)
 			return t, nil
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -79,8 +79,8 @@
 
 // note is what the log tells of a request.
 type note struct {
-	replica, store, outcome string
-	version, tries, status  int
+	replica, context, outcome string
+	version, tries, status    int
 	proofAge, firstByte     time.Duration
 	placed                  time.Duration
 }
@@ -246,7 +246,7 @@
 		version = c.intent.Table.Version
 	}
 	_ = c.relay.Logger.Log("id", c.ask.ID, "route", routeName, "account", c.account.Name, "config", version,
-		"proof", c.note.proofAge.Round(time.Millisecond), "replica", c.note.replica, "weights", c.note.version,
+		"proof", c.note.proofAge.Round(time.Millisecond), "replica", c.note.replica, "weights", c.note.version, "context", c.note.context,
 		"tries", c.note.tries, "outcome", c.note.outcome, "status", c.note.status,
 		"placed", c.note.placed.Round(time.Millisecond), "first", c.note.firstByte.Round(time.Millisecond),
 		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -153,6 +153,21 @@
 	first   bool
 }
 
+// Context tells for the log where each piece comes from: f is fetched, s is read
+// and saved, - is read or in the replica's cache.
+func (t *Ticket) Context() string {
+	out := make([]byte, len(t.Fetch))
+	for i := range out {
+		out[i] = '-'
+		if t.Fetch[i].IsValid() {
+			out[i] = 'f'
+		} else if t.Save[i].IsValid() {
+			out[i] = 's'
+		}
+	}
+	return string(out)
+}
+
 // Job is what a placement depends on beyond the pool's request.
 type Job struct {
 	pool.Request
--- a/shell/peer/peer.go
+++ b/shell/peer/peer.go
@@ -38,10 +38,11 @@
 // Handler answers one message from a peer.
 type Handler func(ctx context.Context, from string, body []byte) ([]byte, error)
 
-// Accept returns the HTTP handler for peers that present the token.
+// Accept returns the HTTP handler for peers that present the token. With an
+// empty token the network must keep others away.
 func Accept(token string, h Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+token)) != 1 {
+		if token != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+token)) != 1 {
 			http.Error(w, "the peer token is wrong", http.StatusUnauthorized)
 			return
 		}
