Bound fetches by the wanted time to the first event; avoid slow stores

Cause: one store's link was four times slower for 5 s (kv_slow), and requests that fetched from it took 420-560 ms to their first event, others 110-160 ms. Stores with a long fixed delay were also used for small parts. Ruled out: the replicas (late requests spread over all of them). Change: small parts are saved to the quickest stores; a fetch must end within 0.45 of the wanted time; the mean excess delay of each store is kept; peers share their loads, with the prompt tokens still to be read, each 160 ms.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -59,10 +59,18 @@
 	Partial map[Part]int
 }
 
+// Space describes a store.
+type Space struct {
+	// Capacity is in tokens.
+	Capacity int
+	// First is the fixed delay of a transfer, PerToken its time for each token.
+	First, PerToken time.Duration
+}
+
 type shelf struct {
-	capacity int
-	epoch    uint64
-	next     uint64
+	Space
+	epoch uint64
+	next  uint64
 	// listed is true once the contents were read in this epoch.
 	listed bool
 	// synced is false until a listing was read after a gap in the events.
@@ -71,6 +79,11 @@
 	saving  map[Part]saving
 	partial int
 	used    int
+	// delay is the mean excess over the usual time to a first answer of requests
+	// that fetched from the store.
+	delay   time.Duration
+	delayAt time.Time
+	skipped int
 }
 
 type saving struct {
@@ -82,24 +95,27 @@
 // safe for concurrent use.
 type Directory struct {
 	shelves map[string]*shelf
+	sizes   sizes
+	// usual is the mean time to a first answer without the slow stores' share.
+	usual time.Duration
 }
 
-// Configure sets the stores and their space in tokens. Others are forgotten.
-func (d *Directory) Configure(capacities map[string]int) {
+// Configure sets the stores. Others are forgotten.
+func (d *Directory) Configure(spaces map[string]Space) {
 	if d.shelves == nil {
 		d.shelves = map[string]*shelf{}
 	}
 	for name := range d.shelves {
-		if _, ok := capacities[name]; !ok {
+		if _, ok := spaces[name]; !ok {
 			delete(d.shelves, name)
 		}
 	}
-	for name, capacity := range capacities {
+	for name, space := range spaces {
 		if s, ok := d.shelves[name]; ok {
-			s.capacity = capacity
+			s.Space = space
 			continue
 		}
-		d.shelves[name] = &shelf{capacity: capacity, held: map[Part]int{}, saving: map[Part]saving{}}
+		d.shelves[name] = &shelf{Space: space, held: map[Part]int{}, saving: map[Part]saving{}}
 	}
 }
 
@@ -175,7 +191,7 @@
 }
 
 func (s *shelf) reset(epoch uint64) {
-	*s = shelf{capacity: s.capacity, epoch: epoch, held: map[Part]int{}, saving: map[Part]saving{}}
+	*s = shelf{Space: s.Space, epoch: epoch, held: map[Part]int{}, saving: map[Part]saving{}}
 }
 
 func (s *shelf) apply(ev Event) {
@@ -232,11 +248,16 @@
 	best, top := "", 0.0
 	for name, s := range d.shelves {
 		room := s.room(now)
-		if !s.listed || room < blocks(tokens) {
+		if !s.listed || room < blocks(tokens) || s.slowness(now) > savingDelay {
 			continue
 		}
-		// Weighted rendezvous: stores fill in proportion to their free space.
-		if v := float64(score(p, name)>>11) / (1 << 53) * float64(room); best == "" || v > top {
+		// Weighted rendezvous: stores of one tier fill in proportion to their
+		// free space. A store of the part's own tier goes before all others.
+		v := float64(score(p, name)>>11) / (1 << 53) * float64(room)
+		if d.inTier(name, tokens) {
+			v += ownTier
+		}
+		if best == "" || v > top {
 			best, top = name, v
 		}
 	}
@@ -256,7 +277,7 @@
 		}
 		taken += blocks(sv.tokens)
 	}
-	return int(float64(s.capacity)*fullShare) - taken
+	return int(float64(s.Capacity)*fullShare) - taken
 }
 
 // Stale returns the parts of a store whose salt is not wanted any more.
@@ -275,7 +296,7 @@
 // Usage returns the tokens held and the space of a store.
 func (d *Directory) Usage(store string) (used, capacity int) {
 	if s, ok := d.shelves[store]; ok {
-		return s.used + s.partial, s.capacity
+		return s.used + s.partial, s.Capacity
 	}
 	return 0, 0
 }
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -178,7 +178,7 @@
 		if fill > tightFrom {
 			cost += time.Duration((fill - tightFrom) / (1 - tightFrom) * float64(tightDelay))
 		}
-		cost += time.Duration(running)*slotDelay + time.Duration(r.reading)*time.Millisecond/readRate
+		cost += time.Duration(running)*slotDelay + time.Duration(load.Reading)*time.Millisecond/readRate
 	} else {
 		cost += usual * time.Duration(running) / time.Duration(slots)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -28,6 +28,8 @@
 	Running int
 	// Tokens is the memory that the running requests need.
 	Tokens int
+	// Reading is the number of prompt tokens that were not yet read.
+	Reading int
 }
 
 // Limits on what is believed of a replica.
@@ -52,7 +54,6 @@
 	Replica
 	removeAt time.Time
 	own      Load
-	reading  int
 	peers    map[string]peerLoad
 	// reported is the load in the replica's last answer.
 	reported struct {
@@ -187,7 +188,7 @@
 	if r, ok := p.replicas[id]; ok {
 		r.own.Running++
 		r.own.Tokens += tokens
-		r.reading += reading
+		r.own.Reading += reading
 	}
 }
 
@@ -210,7 +211,7 @@
 // Read notes that prompt tokens wait no longer to be read.
 func (p *Pool) Read(id string, tokens int) {
 	if r, ok := p.replicas[id]; ok {
-		r.reading -= tokens
+		r.own.Reading -= tokens
 	}
 }
 
@@ -299,6 +300,7 @@
 		if now.Sub(l.at) < peerLoadLife {
 			sum.Running += l.Running
 			sum.Tokens += l.Tokens
+			sum.Reading += l.Reading
 		}
 	}
 	return sum
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -83,9 +83,10 @@
 type Engine struct {
 	// Slots is the number of requests in a batch.
 	Slots int
-	// Memory is the number of tokens that an engine holds.
-	Memory int
-	Models []string
+	// Memory is the number of tokens that an engine holds, TokenBytes the size
+	// of the context of one token.
+	Memory, TokenBytes int
+	Models             []string
 }
 
 // Store describes a store of context.
@@ -96,6 +97,19 @@
 	Capacity int
 	// Managed stores drop nothing on their own.
 	Managed bool
+	// FirstDelay is the fixed delay of a transfer; LinkBits is the rate of the
+	// store's link in bits per second.
+	FirstDelay time.Duration
+	LinkBits   float64
+}
+
+// TokenTime is the time that the context of one token takes on the store's link.
+func (s *Store) TokenTime(tokenBytes int) time.Duration {
+	if s.LinkBits <= 0 {
+		return 0
+	}
+	const bitsPerByte = 8
+	return time.Duration(float64(tokenBytes) * bitsPerByte / s.LinkBits * float64(time.Second))
 }
 
 // Service is a group of equal upstreams, or a store.
@@ -174,6 +188,17 @@
 	return a, ok
 }
 
+// TokenBytes is the size of the context of one token, the largest of all engines.
+func (t *Table) TokenBytes() int {
+	size := 0
+	for _, s := range t.Services {
+		if s.Engine != nil {
+			size = max(size, s.Engine.TokenBytes)
+		}
+	}
+	return size
+}
+
 // Stores returns the stores of context, sorted by name.
 func (t *Table) Stores() []Service {
 	var out []Service
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -23,7 +23,7 @@
 // Times of the exchange.
 const (
 	// every is the pause between two exchanges with a peer.
-	every = 400 * time.Millisecond
+	every = 160 * time.Millisecond
 	// callLimit bounds one exchange.
 	callLimit = 500 * time.Millisecond
 	// slowest is the pause between tries at a peer that does not answer.
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -222,6 +222,7 @@
 	Replica string
 	Running int
 	Tokens  int
+	Reading int
 }
 
 // ReplicaVersion is the weight version of a model at a replica.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -81,8 +81,8 @@
 type note struct {
 	replica, context, outcome string
 	version, tries, status    int
-	proofAge, firstByte     time.Duration
-	placed                  time.Duration
+	proofAge, firstByte       time.Duration
+	placed                    time.Duration
 }
 
 // ServeHTTP serves one request.
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,8 +31,11 @@
 	shortestIdle = 300 * time.Millisecond
 	// maxIdle bounds the kept connections to one replica.
 	maxIdle = 16
-	// fetchLimit is how long a fetch from a store may take.
+	// fetchLimit is how long a fetch from a store may take, and fetchShare the
+	// part of the time to the first event that it may take. A prompt whose fetch
+	// takes longer is read.
 	fetchLimit = 1500 * time.Millisecond
+	fetchShare = 0.45
 	// loadedLife is how long a change of weights is told to peers.
 	loadedLife = 5 * time.Second
 	// outLife is how long a replica stays out of use after it was last named.
@@ -129,12 +133,14 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.stores = map[string]netip.AddrPort{}
-	capacities := map[string]int{}
+	spaces := map[string]directory.Space{}
 	for _, s := range t.Stores() {
 		u.stores[s.Name] = s.Store.Address
-		capacities[s.Name] = s.Store.Capacity
+		spaces[s.Name] = directory.Space{
+			Capacity: s.Store.Capacity, First: s.Store.FirstDelay, PerToken: s.Store.TokenTime(t.TokenBytes()),
+		}
 	}
-	u.dir.Configure(capacities)
+	u.dir.Configure(spaces)
 }
 
 // Ticket is a request's place at a replica.
@@ -151,21 +157,14 @@
 	tokens  int
 	began   time.Time
 	first   bool
+	sources []string
+	fetched []string
 }
 
-// Context tells for the log where each piece comes from: f is fetched, s is read
-// and saved, - is read or in the replica's cache.
+// Context tells for the log where each piece comes from: +STORE is fetched,
+// >STORE is read and saved, - is read or in the replica's cache.
 func (t *Ticket) Context() string {
-	out := make([]byte, len(t.Fetch))
-	for i := range out {
-		out[i] = '-'
-		if t.Fetch[i].IsValid() {
-			out[i] = 'f'
-		} else if t.Save[i].IsValid() {
-			out[i] = 's'
-		}
-	}
-	return string(out)
+	return strings.Join(t.sources, ",")
 }
 
 // Job is what a placement depends on beyond the pool's request.
@@ -173,6 +172,8 @@
 	pool.Request
 	Pieces []outside.Piece
 	Input  int
+	// Target is the time within which the first event is wanted; 0 if none.
+	Target time.Duration
 	// Wall is the account's name if it shares no context with others.
 	Wall string
 }
@@ -200,19 +201,29 @@
 	if len(j.Pieces) == 0 || len(u.stores) == 0 {
 		return
 	}
+	limit := fetchLimit
+	if j.Target > 0 {
+		limit = min(limit, time.Duration(fetchShare*float64(j.Target)))
+	}
 	t.Fetch = make([]netip.AddrPort, len(j.Pieces))
 	t.Save = make([]netip.AddrPort, len(j.Pieces))
 	for i, piece := range j.Pieces[:len(j.Pieces)-1] {
 		part := directory.Part{Salt: t.Salt, ID: piece.ID}
-		if store, ok := u.dir.Locate(part, piece.Tokens); ok {
+		u.dir.Asked(piece.Tokens)
+		if store, ok := u.dir.Locate(part, piece.Tokens); ok && u.dir.Worth(now, store, piece.Tokens, limit) {
 			t.Fetch[i] = u.stores[store]
+			t.sources = append(t.sources, "+"+store)
+			t.fetched = append(t.fetched, store)
 			t.Reading -= piece.Tokens
 		} else if store, ok := u.dir.Reserve(now, part, piece.Tokens); ok {
 			t.Save[i] = u.stores[store]
+			t.sources = append(t.sources, ">"+store)
+		} else {
+			t.sources = append(t.sources, "-")
 		}
 	}
 	if u.clockKnown {
-		t.FetchUntil = now.Add(u.clock + fetchLimit).UnixMilli()
+		t.FetchUntil = now.Add(u.clock + limit).UnixMilli()
 	}
 }
 
@@ -276,7 +287,11 @@
 	defer u.mu.Unlock()
 	if !t.first {
 		t.first = true
-		u.pool.FirstAnswer(now, t.ID, t.Reading, now.Sub(t.began))
+		took := now.Sub(t.began)
+		u.pool.FirstAnswer(now, t.ID, t.Reading, took)
+		if t.Version > 0 {
+			u.dir.Took(now, t.fetched, took)
+		}
 	}
 }
 
@@ -311,7 +326,7 @@
 func (u *Upstreams) Hear(now time.Time, g message.Gossip) {
 	loads := map[string]pool.Load{}
 	for _, l := range g.Loads {
-		loads[l.Replica] = pool.Load{Running: l.Running, Tokens: l.Tokens}
+		loads[l.Replica] = pool.Load{Running: l.Running, Tokens: l.Tokens, Reading: l.Reading}
 	}
 	u.mu.Lock()
 	u.pool.HearPeer(now, g.Name, loads)
@@ -330,7 +345,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, l := range u.pool.Own() {
-		g.Loads = append(g.Loads, message.ReplicaLoad{Replica: id, Running: l.Running, Tokens: l.Tokens})
+		g.Loads = append(g.Loads, message.ReplicaLoad{Replica: id, Running: l.Running, Tokens: l.Tokens, Reading: l.Reading})
 	}
 	for v := range u.loaded {
 		g.Loaded = append(g.Loaded, v)
