Order drained replicas at once, and keep one member of the duty group

Cause: a wave of six replicas took 2 s, as orders waited until the replicas were empty although they let running requests end themselves; and the duty moved at 27 s because a machine came back, after which the new holder waited 3 s. Ruled out: limiting loads to two at once, since more only share the same time. Change: orders follow 120 ms after draining; only one instance joins the group while it is heard by the others; replicas with old weights get nothing once the time for them is over.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -50,5 +50,41 @@
 	return l.generation, true
 }
 
+// Drop gives the duty up.
+func (l *Lease) Drop() { l.held = false }
+
 // Held reports whether the duty is this instance's, acted on or not.
 func (l *Lease) Held(now time.Time) bool { return l.held && now.Before(l.until) }
+
+// Candidacy decides when an instance asks for a duty that nobody seems to hold.
+// The zero value has seen no holder.
+type Candidacy struct {
+	// seen is when a holder was last heard of.
+	seen time.Time
+}
+
+// Times of a candidacy.
+const (
+	// holderLife is how long a holder that is not heard counts as one.
+	holderLife = time.Second
+	// rankDelay is what each better placed candidate delays this one by.
+	rankDelay = 600 * time.Millisecond
+)
+
+// Heard notes that another instance holds the duty.
+func (c *Candidacy) Heard(now time.Time) { c.seen = now }
+
+// Elsewhere reports whether another instance is known to hold the duty.
+func (c *Candidacy) Elsewhere(now time.Time) bool {
+	return !c.seen.IsZero() && now.Sub(c.seen) < holderLife
+}
+
+// Apply reports whether an instance of this rank, 0 being the first, asks for
+// the duty now. A duty moves with each change of the group, so only one
+// instance is a member as a rule.
+func (c *Candidacy) Apply(now time.Time, rank int) bool {
+	if c.seen.IsZero() {
+		c.seen = now.Add(-holderLife)
+	}
+	return now.Sub(c.seen) >= holderLife+time.Duration(rank)*rankDelay
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -12,6 +12,8 @@
 	Service string
 	// Model is empty for plain services.
 	Model string
+	// Oldest is the oldest weight version that the request may run on.
+	Oldest int
 	// Tokens is the memory that the request needs, Reading the part of its
 	// prompt that has to be read.
 	Tokens, Reading int
@@ -83,7 +85,7 @@
 			continue
 		}
 		switch {
-		case now.Before(r.reloadUntil):
+		case now.Before(r.reloadUntil) || r.Versions[req.Model] < req.Oldest:
 			reason = Reloading
 		case p.cold(now, r, req.ColdRate):
 			reason = Cold
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -14,8 +14,6 @@
 	Version int
 	// Running is the number of requests in flight at it.
 	Running int
-	// Usable engines may get work.
-	Usable bool
 }
 
 // Action is one of the types below.
@@ -39,16 +37,12 @@
 
 // Times and shares of a reload.
 const (
-	// drainLimit is how long an engine is drained before it is ordered with
-	// requests still running, which it then lets end.
-	drainLimit = 900 * time.Millisecond
 	// settle is the time in which all instances learn that an engine is drained.
-	settle = 150 * time.Millisecond
+	settle = 120 * time.Millisecond
 	// orderRetry is how long an order may go without effect before it is sent again.
 	orderRetry = 2500 * time.Millisecond
-	// loadsAtOnce is the number of loads that do not slow each other.
-	loadsAtOnce = 2
-	// outShare is the share of the engines that may be out at once.
+	// outShare is the share of the engines that may be out at once. Loads slow
+	// each other in proportion, so more at once do not take longer in all.
 	outShare = 0.5
 )
 
@@ -65,14 +59,15 @@
 }
 
 // Step returns what to do now so that all engines come to the version.
-func (rl *Reload) Step(now time.Time, target int, all []Engine) []Action {
+// Once old weights may not be used any more, all engines are out.
+func (rl *Reload) Step(now time.Time, target int, all []Engine, expired bool) []Action {
 	if rl.engines == nil {
 		rl.engines = map[string]progress{}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	var out []Action
 	out = append(out, rl.finish(target, all)...)
-	out = append(out, rl.drain(now, target, all)...)
+	out = append(out, rl.drain(now, target, all, expired)...)
 	return append(out, rl.load(now, target, all)...)
 }
 
@@ -96,9 +91,12 @@
 	return out
 }
 
-func (rl *Reload) drain(now time.Time, target int, all []Engine) []Action {
+func (rl *Reload) drain(now time.Time, target int, all []Engine, expired bool) []Action {
 	var out []Action
 	room := max(1, int(outShare*float64(len(all)))) - len(rl.engines)
+	if expired {
+		room = len(all)
+	}
 	// The least loaded engines go first, since they are empty soonest.
 	waiting := make([]Engine, 0, len(all))
 	for _, e := range all {
@@ -114,27 +112,17 @@
 	return out
 }
 
+// load orders the drained engines. They let what they run end first.
 func (rl *Reload) load(now time.Time, target int, all []Engine) []Action {
-	loading := 0
-	for _, p := range rl.engines {
-		if p.version == target && now.Sub(p.orderedAt) < orderRetry {
-			loading++
-		}
-	}
 	var out []Action
 	for _, e := range all {
 		p, ok := rl.engines[e.ID]
-		if !ok || loading >= loadsAtOnce+1 {
-			continue
-		}
 		ordered := p.version == target && now.Sub(p.orderedAt) < orderRetry
-		waited := now.Sub(p.drainedAt)
-		if ordered || waited < settle || e.Running > 0 && waited < drainLimit {
+		if !ok || ordered || now.Sub(p.drainedAt) < settle {
 			continue
 		}
 		p.version, p.orderedAt = target, now
 		rl.engines[e.ID] = p
-		loading++
 		out = append(out, Load{e.ID, target})
 	}
 	return out
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -52,11 +52,15 @@
 	Logger    log.Logger
 	// Nudge tells peers at once what changed.
 	Nudge func()
+	// Rank returns the place of this instance among the candidates for the duty.
+	Rank func(now time.Time) int
 
-	mu      sync.Mutex
-	lease   lease.Lease
-	reloads map[string]*reload.Reload
-	retired map[string]retired
+	mu        sync.Mutex
+	lease     lease.Lease
+	candidacy lease.Candidacy
+	member    bool
+	reloads   map[string]*reload.Reload
+	retired   map[string]retired
 }
 
 // retired is the oldest weight version of a model that replicas still hold.
@@ -108,12 +112,52 @@
 
 // Leave gives the duty up.
 func (d *Duty) Leave(ctx context.Context) {
+	d.mu.Lock()
+	member := d.member
+	d.member = false
+	d.lease.Drop()
+	d.mu.Unlock()
+	if !member {
+		return
+	}
 	if err := d.Log.Leave(ctx, d.Name); err != nil {
 		_ = d.Logger.Log("msg", "The membership could not be given up; it lapses.", "err", err)
 	}
 }
 
+// Holds reports whether this instance holds the duty.
+func (d *Duty) Holds(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Held(now)
+}
+
+// HolderElsewhere notes that a peer holds the duty.
+func (d *Duty) HolderElsewhere(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.candidacy.Heard(now)
+}
+
+// renew keeps the membership up, asks for one if nobody holds the duty, and
+// gives it up if another instance does.
 func (d *Duty) renew(ctx context.Context) {
+	now := d.Now()
+	rank := d.Rank(now)
+	d.mu.Lock()
+	held, elsewhere := d.lease.Held(now), d.candidacy.Elsewhere(now)
+	member := d.member
+	apply := d.candidacy.Apply(now, rank)
+	d.mu.Unlock()
+	switch {
+	case member && !held && elsewhere:
+		d.Leave(ctx)
+	case member || apply:
+		d.join(ctx)
+	}
+}
+
+func (d *Duty) join(ctx context.Context) {
 	d.mu.Lock()
 	generation := d.lease.Generation()
 	held := d.lease.Held(d.Now())
@@ -126,6 +170,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.member = true
 	d.lease.Renew(sent, ttl, g)
 	if now := d.lease.Held(d.Now()); now != held {
 		_ = d.Logger.Log("msg", "The holder of the duty changed.", "held", now, "generation", g.Generation)
@@ -157,7 +202,8 @@
 		r = &reload.Reload{}
 		d.reloads[model] = r
 	}
-	actions := r.Step(now, version, engines)
+	expired := d.Upstreams.Expired(now, model, version)
+	actions := r.Step(now, version, engines, expired)
 	d.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -199,7 +245,7 @@
 			for _, r := range p.All(s.Name) {
 				if held, ok := r.Versions[model]; ok && !r.Draining {
 					replicas[r.ID] = r
-					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Running(now, r.ID), Usable: true})
+					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Running(now, r.ID)})
 				}
 			}
 		}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -86,11 +86,12 @@
 	e.mesh = &mesh.Mesh{Self: self, Client: &http.Client{Transport: network.Transport()}}
 	e.upstreams = &upstreams.Upstreams{
 		Network: network, Decoder: out.Decoder, Now: clock.Now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
+		VersionLimit: cfg.Bounds.Version,
 	}
 	e.topics = &topics.Topics{
 		Log: out.Log, Decoder: out.Decoder, Now: clock.Now, Logger: part("topics"),
 		OnUpstreams: e.upstreams.TakeReplicas,
-		OnIntent:    func(in *outside.Intent) { e.upstreams.Configure(in.Table) },
+		OnIntent:    e.upstreams.Configure,
 	}
 	e.duty = &duty.Duty{
 		Name: cfg.Name, Bounds: cfg.Bounds, Log: out.Log, Control: out.Control,
@@ -98,10 +99,10 @@
 	}
 	e.gossip = &gossip.Gossip{
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
-		Now: clock.Now, Logger: part("peers"), Out: e.duty.Out,
+		Now: clock.Now, Logger: part("peers"), Duty: e.duty,
 	}
 	e.topics.OnInstances = e.gossip.TakeInstances
-	e.duty.Nudge = e.gossip.Nudge
+	e.duty.Nudge, e.duty.Rank = e.gossip.Nudge, e.gossip.Rank
 	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -28,6 +28,8 @@
 	callLimit = 500 * time.Millisecond
 	// slowest is the pause between tries at a peer that does not answer.
 	slowest = 2 * time.Second
+	// peerLife is how long a silent peer counts as one that answers.
+	peerLife = 1200 * time.Millisecond
 	// memberLife is how long a silent peer still counts as one that shares limits.
 	memberLife = 30 * time.Second
 )
@@ -41,8 +43,9 @@
 	Upstreams *upstreams.Upstreams
 	Now       func() time.Time
 	Logger    log.Logger
-	// Out returns the replicas that this instance takes out of use.
-	Out func() []string
+	// Duty is this instance's part in the duties; it names the replicas that get
+	// no new work.
+	Duty Duty
 
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
@@ -50,6 +53,13 @@
 	nudge   chan struct{}
 }
 
+// Duty is what is told and heard of the duties.
+type Duty interface {
+	Out() []string
+	Holds(now time.Time) bool
+	HolderElsewhere(now time.Time)
+}
+
 type peer struct {
 	roster.Member
 	heard  time.Time
@@ -237,13 +247,29 @@
 			g.add(now, known)
 		}
 	}
+	if m.Holder {
+		g.Duty.HolderElsewhere(now)
+	}
 	g.Upstreams.Hear(now, m)
 }
 
+// Rank returns how many instances that answer come before this one by name.
+func (g *Gossip) Rank(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rank := 0
+	for _, p := range g.peers {
+		if !p.Leaving && !p.heard.IsZero() && now.Sub(p.heard) < peerLife && p.Name < g.Self.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (g *Gossip) state(now time.Time) message.Gossip {
 	m := message.Gossip{
 		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
-		Views: g.Topics.Views(now), Out: g.Out(),
+		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now),
 	}
 	g.Upstreams.Tell(&m)
 	g.mu.Lock()
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -195,6 +195,8 @@
 	DataCentre string         `json:"data-centre"`
 	Address    netip.AddrPort `json:"address"`
 	Leaving    bool           `json:"leaving"`
+	// Holder is true if the sender holds the duties.
+	Holder bool `json:"holder"`
 	// Views are those of the operators' records and of the list of replicas.
 	Views []ViewState `json:"views"`
 	// Loads is the work that the sender has in flight.
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -14,7 +14,6 @@
 	"crocusfold.dev/core/directory"
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/pool"
-	"crocusfold.dev/core/route"
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
@@ -49,8 +48,13 @@
 	Now        func() time.Time
 	Logger     log.Logger
 	DataCentre string
+	// VersionLimit is how long requests may still begin on weights that were
+	// replaced.
+	VersionLimit time.Duration
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// named has the newest weight version of each model and when it was heard of.
+	named  map[string]naming
 	pool   pool.Pool
 	dir    directory.Directory
 	stores map[string]netip.AddrPort
@@ -61,6 +65,15 @@
 	clockKnown bool
 }
 
+type naming struct {
+	version int
+	at      time.Time
+}
+
+// versionMargin is taken off VersionLimit, for the time until a new version is
+// heard of.
+const versionMargin = 500 * time.Millisecond
+
 // link is the connections to one incarnation of a replica.
 type link struct {
 	incarnation int64
@@ -128,10 +141,20 @@
 	}
 }
 
-// Configure takes the stores of a configuration.
-func (u *Upstreams) Configure(t *route.Table) {
+// Configure takes a new intent.
+func (u *Upstreams) Configure(in *outside.Intent) {
+	now := u.Now()
+	t := in.Table
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.named == nil {
+		u.named = map[string]naming{}
+	}
+	for model, version := range in.Versions {
+		if version > u.named[model].version {
+			u.named[model] = naming{version, now}
+		}
+	}
 	u.stores = map[string]netip.AddrPort{}
 	spaces := map[string]directory.Space{}
 	for _, s := range t.Stores() {
@@ -143,6 +166,23 @@
 	u.dir.Configure(spaces)
 }
 
+// Expired reports whether requests may no longer begin on older weights than a
+// version.
+func (u *Upstreams) Expired(now time.Time, model string, version int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.oldest(now, model) >= version
+}
+
+// oldest returns the oldest weight version that requests may begin on.
+func (u *Upstreams) oldest(now time.Time, model string) int {
+	n := u.named[model]
+	if n.version > 0 && now.Sub(n.at) >= u.VersionLimit-versionMargin {
+		return n.version
+	}
+	return 0
+}
+
 // Ticket is a request's place at a replica.
 type Ticket struct {
 	pool.Choice
@@ -182,6 +222,7 @@
 func (u *Upstreams) Place(now time.Time, j Job) (*Ticket, pool.Reason) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	j.Oldest = u.oldest(now, j.Model)
 	choice, reason := u.pool.Choose(now, j.Request)
 	if reason != "" {
 		return nil, reason
