Change weights under the rest of the runs; take over what a holder began

Cause: six replicas that were drained at once waited 1.6 to 2.2 s for their longest run; a holder that was cut left half of the replicas to a new one that waited 3 s; a machine that came back asked for the duty at once. Ruled out: truncating runs, since most streams can't be resumed. Change: after 0.6 s of draining the order keeps the runs; a new holder adopts the replicas that the one before had out, and only these wait for leaseMs where replicas check fencing tokens; an instance that hears few peers does not ask.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -61,6 +61,8 @@
 type Candidacy struct {
 	// seen is when a holder was last heard of.
 	seen time.Time
+	// aloneSince is when most other instances were last heard.
+	aloneSince time.Time
 }
 
 // Times of a candidacy.
@@ -69,6 +71,8 @@
 	holderLife = time.Second
 	// rankDelay is what each better placed candidate delays this one by.
 	rankDelay = 600 * time.Millisecond
+	// aloneLimit is how long an instance that hears no other waits.
+	aloneLimit = 4 * time.Second
 )
 
 // Heard notes that another instance holds the duty.
@@ -76,9 +80,23 @@
 
 // Elsewhere reports whether another instance is known to hold the duty.
 func (c *Candidacy) Elsewhere(now time.Time) bool {
-	return !c.seen.IsZero() && now.Sub(c.seen) < holderLife
+	return !c.seen.IsZero() && now.Sub(c.seen) < holderLife && c.aloneSince.IsZero()
 }
 
+// Alone notes that most other instances can't be heard, so that a holder may
+// live among them.
+func (c *Candidacy) Alone(now time.Time) {
+	if c.aloneSince.IsZero() {
+		c.aloneSince = now
+	}
+	if now.Sub(c.aloneSince) < aloneLimit {
+		c.Heard(now)
+	}
+}
+
+// Among notes that most other instances can be heard.
+func (c *Candidacy) Among() { c.aloneSince = time.Time{} }
+
 // Apply reports whether an instance of this rank, 0 being the first, asks for
 // the duty now. A duty moves with each change of the group, so only one
 // instance is a member as a rule.
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -22,10 +22,19 @@
 // Drain keeps new work from an engine.
 type Drain struct{ ID string }
 
-// Load orders an engine to load a version.
+// Load orders an engine to load a version. With Keep, requests that still run
+// go on under the new weights; else the engine lets them end first.
 type Load struct {
 	ID      string
 	Version int
+	Keep    bool
+}
+
+// Watch asks whether an engine has loaded the version that another holder of
+// the duty ordered.
+type Watch struct {
+	ID      string
+	Version int
 }
 
 // Release lets an engine have work again.
@@ -33,12 +42,19 @@
 
 func (Drain) action()   {}
 func (Load) action()    {}
+func (Watch) action()   {}
 func (Release) action() {}
 
 // Times and shares of a reload.
 const (
 	// settle is the time in which all instances learn that an engine is drained.
 	settle = 120 * time.Millisecond
+	// drainLimit is how long an engine is drained before its weights change under
+	// the requests that still run. Most have ended by then, and the capacity that
+	// is missing meanwhile costs more than the rest of the others.
+	drainLimit = 600 * time.Millisecond
+	// refusedRetry is the pause before an order that was refused is sent again.
+	refusedRetry = 150 * time.Millisecond
 	// orderRetry is how long an order may go without effect before it is sent again.
 	orderRetry = 2500 * time.Millisecond
 	// outShare is the share of the engines that may be out at once. Loads slow
@@ -48,8 +64,11 @@
 
 type progress struct {
 	drainedAt time.Time
-	orderedAt time.Time
-	version   int
+	// nextOrder is when the engine may be ordered, again or for the first time.
+	nextOrder time.Time
+	// version is the one that was ordered, 0 before.
+	version int
+	watched bool
 }
 
 // Reload is the progress of one model. The zero value has started nothing. It
@@ -112,22 +131,38 @@
 	return out
 }
 
-// load orders the drained engines. They let what they run end first.
+// load orders the drained engines that are empty or have had their time.
 func (rl *Reload) load(now time.Time, target int, all []Engine) []Action {
 	var out []Action
 	for _, e := range all {
 		p, ok := rl.engines[e.ID]
-		ordered := p.version == target && now.Sub(p.orderedAt) < orderRetry
-		if !ok || ordered || now.Sub(p.drainedAt) < settle {
+		if !ok {
+			continue
+		}
+		if p.watched && p.version == 0 {
+			p.version = target
+			rl.engines[e.ID] = p
+			out = append(out, Watch{e.ID, target})
+		}
+		waited := now.Sub(p.drainedAt)
+		if now.Before(p.nextOrder) && (p.version == target || p.watched) || waited < settle || e.Running > 0 && waited < drainLimit {
 			continue
 		}
-		p.version, p.orderedAt = target, now
-		rl.engines[e.ID] = p
-		out = append(out, Load{e.ID, target})
+		rl.engines[e.ID] = progress{drainedAt: p.drainedAt, nextOrder: now.Add(orderRetry), version: target}
+		out = append(out, Load{e.ID, target, e.Running > 0})
 	}
 	return out
 }
 
+// Adopt takes an engine over that another holder has drained and may have
+// ordered. It is not ordered before notBefore.
+func (rl *Reload) Adopt(now, notBefore time.Time, id string) {
+	if rl.engines == nil {
+		rl.engines = map[string]progress{}
+	}
+	rl.engines[id] = progress{drainedAt: now, nextOrder: notBefore, watched: true}
+}
+
 // Out returns the engines that must get no new work.
 func (rl *Reload) Out() []string {
 	var out []string
@@ -138,10 +173,10 @@
 	return out
 }
 
-// Failed notes that an order was refused, so that it is sent again soon.
-func (rl *Reload) Failed(id string) {
+// Refused notes that an engine did not take an order, so that it is sent again soon.
+func (rl *Reload) Refused(now time.Time, id string) {
 	if p, ok := rl.engines[id]; ok {
-		p.version = 0
+		p.nextOrder = now.Add(refusedRetry)
 		rl.engines[id] = p
 	}
 }
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -53,14 +53,17 @@
 	// Nudge tells peers at once what changed.
 	Nudge func()
 	// Rank returns the place of this instance among the candidates for the duty.
-	Rank func(now time.Time) int
+	Rank func(now time.Time) (rank int, most bool)
 
 	mu        sync.Mutex
 	lease     lease.Lease
 	candidacy lease.Candidacy
 	member    bool
-	reloads   map[string]*reload.Reload
-	retired   map[string]retired
+	// foreign has the replicas that another holder took out of use, and when that
+	// was last heard.
+	foreign map[string]time.Time
+	reloads map[string]*reload.Reload
+	retired map[string]retired
 }
 
 // retired is the oldest weight version of a model that replicas still hold.
@@ -86,9 +89,14 @@
 // Run renews the membership and does the duty while it is this instance's.
 func (d *Duty) Run(ctx context.Context) {
 	d.mu.Lock()
-	d.lease.Quiet = d.Bounds.Lease
+	// Where replicas check fencing tokens, only those wait that the holder before
+	// took out of use; it told its peers before it ordered them.
+	if !d.Bounds.Fenced {
+		d.lease.Quiet = d.Bounds.Lease
+	}
 	d.reloads = map[string]*reload.Reload{}
 	d.retired = map[string]retired{}
+	d.foreign = map[string]time.Time{}
 	d.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { every(ctx, renewEvery, func() { d.renew(ctx) }) })
@@ -132,19 +140,32 @@
 	return d.lease.Held(now)
 }
 
-// HolderElsewhere notes that a peer holds the duty.
-func (d *Duty) HolderElsewhere(now time.Time) {
+// HolderElsewhere notes that a peer holds the duty and has taken replicas out.
+func (d *Duty) HolderElsewhere(now time.Time, out []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.candidacy.Heard(now)
+	for id, at := range d.foreign {
+		if now.Sub(at) > 2*d.Bounds.Lease {
+			delete(d.foreign, id)
+		}
+	}
+	for _, id := range out {
+		d.foreign[id] = now
+	}
 }
 
 // renew keeps the membership up, asks for one if nobody holds the duty, and
 // gives it up if another instance does.
 func (d *Duty) renew(ctx context.Context) {
 	now := d.Now()
-	rank := d.Rank(now)
+	rank, most := d.Rank(now)
 	d.mu.Lock()
+	if most {
+		d.candidacy.Among()
+	} else {
+		d.candidacy.Alone(now)
+	}
 	held, elsewhere := d.lease.Held(now), d.candidacy.Elsewhere(now)
 	member := d.member
 	apply := d.candidacy.Apply(now, rank)
@@ -200,6 +221,11 @@
 	r, ok := d.reloads[model]
 	if !ok {
 		r = &reload.Reload{}
+		for id, at := range d.foreign {
+			if now.Sub(at) < d.Bounds.Lease && behind(engines, id, version) {
+				r.Adopt(now, at.Add(d.Bounds.Lease), id)
+			}
+		}
 		d.reloads[model] = r
 	}
 	expired := d.Upstreams.Expired(now, model, version)
@@ -213,7 +239,9 @@
 		case reload.Release:
 			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, time.Time{}) })
 		case reload.Load:
-			go d.load(ctx, replicas[a.ID], model, a.Version)
+			go d.load(ctx, replicas[a.ID], model, a)
+		case reload.Watch:
+			go d.watch(ctx, replicas[a.ID], model, a.Version)
 		}
 	}
 	d.hold(now, r, model)
@@ -253,19 +281,44 @@
 	return out, replicas
 }
 
+// behind reports whether an engine lacks a version.
+func behind(all []reload.Engine, id string, version int) bool {
+	for _, e := range all {
+		if e.ID == id {
+			return e.Version < version
+		}
+	}
+	return false
+}
+
 // load orders a replica to load a version and watches until it has.
-func (d *Duty) load(ctx context.Context, r pool.Replica, model string, version int) {
+func (d *Duty) load(ctx context.Context, r pool.Replica, model string, a reload.Load) {
 	report, err := d.Control.Report(ctx, r.Address)
-	if err == nil && report.Versions[model] >= version {
+	if err == nil && report.Versions[model] >= a.Version {
 		d.loaded(r.ID, model, report.Versions[model])
 		return
 	}
+	result := outside.OrderBusy
 	if err == nil {
-		err = d.order(ctx, r, model, version, report.Seq)
+		result, err = d.order(ctx, r, model, a, report.Seq)
 	}
 	if err != nil {
-		_ = d.Logger.Log("msg", "An order did not get through.", "replica", r.ID, "version", version, "err", err)
+		_ = d.Logger.Log("msg", "An order did not get through.", "replica", r.ID, "version", a.Version, "err", err)
+		return
+	}
+	if result != outside.OrderAccepted && result != outside.OrderHolds {
+		d.mu.Lock()
+		if rl, ok := d.reloads[model]; ok {
+			rl.Refused(d.Now(), r.ID)
+		}
+		d.mu.Unlock()
+		return
 	}
+	d.watch(ctx, r, model, a.Version)
+}
+
+// watch asks a replica until it has loaded a version.
+func (d *Duty) watch(ctx context.Context, r pool.Replica, model string, version int) {
 	began := d.Now()
 	for ctx.Err() == nil && d.Now().Sub(began) < loadLimit {
 		pauseFor(ctx, reportEvery)
@@ -290,18 +343,25 @@
 }
 
 // order sends one order if the duty is still held at the last moment.
-func (d *Duty) order(ctx context.Context, r pool.Replica, model string, version, seq int) error {
+func (d *Duty) order(ctx context.Context, r pool.Replica, model string, a reload.Load, seq int) (outside.OrderResult, error) {
 	d.mu.Lock()
 	fence, ok := d.lease.Token(d.Now())
 	d.mu.Unlock()
 	if !ok {
-		return nil
+		return outside.OrderFenced, nil
 	}
 	result, err := d.Control.Order(ctx, r.Address, outside.Order{
-		Replica: r.ID, Model: model, Version: version, Holder: d.Name, Fence: fence, Seq: seq,
+		Replica: r.ID, Model: model, Version: a.Version, Keep: a.Keep, Holder: d.Name, Fence: fence, Seq: seq,
 	})
-	_ = d.Logger.Log("msg", "Ordered a replica to load weights.", "replica", r.ID, "model", model, "version", version, "fence", fence, "result", int(result), "err", err)
-	return err
+	_ = d.Logger.Log("msg", "Ordered a replica to load weights.", "replica", r.ID, "model", model, "version", a.Version,
+		"keep", a.Keep, "fence", fence, "result", int(result), "err", err)
+	if result == outside.OrderFenced && err == nil {
+		// A newer holder has ordered this replica, so the duty is not ours.
+		d.mu.Lock()
+		d.lease.Drop()
+		d.mu.Unlock()
+	}
+	return result, err
 }
 
 func (d *Duty) loaded(id, model string, version int) {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -57,7 +57,7 @@
 type Duty interface {
 	Out() []string
 	Holds(now time.Time) bool
-	HolderElsewhere(now time.Time)
+	HolderElsewhere(now time.Time, out []string)
 }
 
 type peer struct {
@@ -248,22 +248,27 @@
 		}
 	}
 	if m.Holder {
-		g.Duty.HolderElsewhere(now)
+		g.Duty.HolderElsewhere(now, m.Out)
 	}
 	g.Upstreams.Hear(now, m)
 }
 
-// Rank returns how many instances that answer come before this one by name.
-func (g *Gossip) Rank(now time.Time) int {
+// Rank returns how many instances that answer come before this one by name, and
+// whether most of the known ones answer.
+func (g *Gossip) Rank(now time.Time) (rank int, most bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rank := 0
+	answer := 0
 	for _, p := range g.peers {
-		if !p.Leaving && !p.heard.IsZero() && now.Sub(p.heard) < peerLife && p.Name < g.Self.Name {
+		if p.heard.IsZero() || now.Sub(p.heard) >= peerLife {
+			continue
+		}
+		answer++
+		if !p.Leaving && p.Name < g.Self.Name {
 			rank++
 		}
 	}
-	return rank
+	return rank, 2*answer >= len(g.peers)
 }
 
 func (g *Gossip) state(now time.Time) message.Gossip {
--- a/entry/outside/outside.go
+++ b/entry/outside/outside.go
@@ -144,6 +144,8 @@
 	Version int
 	Holder  string
 	Fence   uint64
+	// Keep lets running requests go on under the new weights; else they end first.
+	Keep bool
 	// Seq is the number of orders that the replica must have accepted before.
 	Seq int
 }
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -18,6 +18,8 @@
 	Revoke time.Duration
 	// Lease is the time within which two holders of a duty must not take turns.
 	Lease time.Duration
+	// Fenced is true if replicas refuse orders with an old fencing token.
+	Fenced bool
 	// Version is how long requests may still begin on older weights.
 	Version time.Duration
 	// Contact is the time after a disturbance from which bounds hold again.
