Script the new deciding packages, and wait longer for large fetches

The scripts of pool found that replicas that had not answered yet all seemed equally loaded, and that a replica's failures were never forgotten without a success. Ruled out: nothing further. Change: the time for a fetch grows with the tokens that it saves; an unknown delay counts as 50 ms; failures fade in 3 s.

--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusfold.dev/script"
+)
+
+// TestScripts: a part is id:tokens under the salt s; times are in milliseconds.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
+		d := &Directory{}
+		spaces := map[string]Space{}
+		return func(args []string) []string {
+			switch args[0] {
+			case "store":
+				first, _ := time.ParseDuration(args[3])
+				spaces[args[1]] = Space{Capacity: number(args[2]), First: first}
+				d.Configure(spaces)
+			case "list":
+				l := Listing{Epoch: uint64(number(args[2])), Next: uint64(number(args[3])), Held: map[Part]int{}, Partial: map[Part]int{}}
+				for _, arg := range args[4:] {
+					p, tokens := part(strings.TrimPrefix(arg, "?"))
+					if strings.HasPrefix(arg, "?") {
+						l.Partial[p] = tokens
+					} else {
+						l.Held[p] = tokens
+					}
+				}
+				d.Replace(args[1], l)
+			case "event":
+				n := uint64(number(args[3]))
+				p, tokens := part(args[5])
+				d.Apply(args[1], uint64(number(args[2])), n+1, false, []Event{{Number: n, Part: p, Tokens: tokens, Gone: args[4] == "-"}})
+			case "locate":
+				p, tokens := part(args[1])
+				store, ok := d.Locate(p, tokens)
+				return []string{strings.TrimSpace(store + " " + strconv.FormatBool(ok))}
+			case "reserve":
+				p, tokens := part(args[2])
+				store, ok := d.Reserve(at(args[1]), p, tokens)
+				return []string{strings.TrimSpace(store + " " + strconv.FormatBool(ok))}
+			case "synced":
+				return []string{fmt.Sprint(d.Synced(args[1]))}
+			case "free":
+				p, _ := part(args[2])
+				d.Free(args[1], []Part{p})
+			case "asked":
+				for range number(args[2]) {
+					d.Asked(number(args[1]))
+				}
+			case "took":
+				took, _ := time.ParseDuration(args[2])
+				d.Took(at(args[1]), args[3:], took)
+			case "worth":
+				limit, _ := time.ParseDuration(args[4])
+				return []string{fmt.Sprint(d.Worth(at(args[1]), args[2], number(args[3]), limit))}
+			case "stale":
+				var out []string
+				for _, p := range d.Stale(args[1], func(string) bool { return false }) {
+					out = append(out, p.ID)
+				}
+				sort.Strings(out)
+				return []string{strings.Join(out, " ")}
+			}
+			return nil
+		}
+	})
+}
+
+func at(s string) time.Time { return time.UnixMilli(1_000_000 + int64(number(s))) }
+
+func number(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+func part(s string) (Part, int) {
+	id, tokens, _ := strings.Cut(s, ":")
+	return Part{Salt: "s", ID: id}, number(tokens)
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,46 @@
+package lease
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"crocusfold.dev/script"
+)
+
+// TestScripts: times are in milliseconds; a grant lasts for 1500 ms.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
+		l := &Lease{}
+		c := &Candidacy{}
+		at := func(s string) time.Time {
+			ms, _ := strconv.ParseInt(s, 10, 64)
+			return time.UnixMilli(1_000_000 + ms)
+		}
+		return func(args []string) []string {
+			switch args[0] {
+			case "quiet":
+				l.Quiet, _ = time.ParseDuration(args[1])
+			case "renew":
+				generation, _ := strconv.ParseUint(args[2], 10, 64)
+				l.Renew(at(args[1]), 1500*time.Millisecond, Grant{Generation: generation, Held: args[3] == "held"})
+			case "drop":
+				l.Drop()
+			case "token":
+				token, ok := l.Token(at(args[1]))
+				return []string{fmt.Sprint(token, " ", ok)}
+			case "heard":
+				c.Heard(at(args[1]))
+			case "alone":
+				c.Alone(at(args[1]))
+			case "among":
+				c.Among()
+			case "apply":
+				rank, _ := strconv.Atoi(args[2])
+				return []string{fmt.Sprint(c.Apply(at(args[1]), rank))}
+			}
+			return nil
+		}
+	})
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -67,6 +67,8 @@
 	tightFrom  = 0.6
 	// failDelay is added for a replica that fails all requests.
 	failDelay = 500 * time.Millisecond
+	// unknownDelay is the delay of a service that has not answered yet.
+	unknownDelay = 50 * time.Millisecond
 	// fullSlots and fullMemory are the loads at which a replica is full.
 	fullSlots  = 2.0
 	fullMemory = 1.25
@@ -187,7 +189,7 @@
 	if r.DataCentre == p.DataCentre {
 		cost -= nearGain
 	}
-	cost += r.excessDelay(now, usual) + time.Duration(r.failRate*float64(failDelay))
+	cost += r.excessDelay(now, usual) + time.Duration(r.failRate*faded(now, r.failAt)*float64(failDelay))
 	return cost, true
 }
 
@@ -198,8 +200,13 @@
 	if excess <= 0 {
 		return 0
 	}
-	fade := float64(now.Sub(r.delayAt)) / float64(delayFade)
-	return time.Duration(float64(excess) / (1 + fade*fade))
+	return time.Duration(float64(excess) * faded(now, r.delayAt))
+}
+
+// faded is the share of an observation that still counts.
+func faded(now, at time.Time) float64 {
+	age := float64(now.Sub(at)) / float64(fadeTime)
+	return 1 / (1 + age*age)
 }
 
 // usualDelay is the median of the replicas' delays.
@@ -211,7 +218,7 @@
 		}
 	}
 	if len(delays) == 0 {
-		return 0
+		return unknownDelay
 	}
 	sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
 	return delays[len(delays)/2]
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -46,8 +46,8 @@
 	refusedPause = 60 * time.Millisecond
 	// delayWeight is the share of a new observation in the mean delay.
 	delayWeight = 0.2
-	// delayFade is the time in which an unusual delay is half forgotten.
-	delayFade = 3 * time.Second
+	// fadeTime is the time in which an unusual delay or failures are half forgotten.
+	fadeTime = 3 * time.Second
 )
 
 type replica struct {
@@ -70,6 +70,7 @@
 	delay       time.Duration
 	delayAt     time.Time
 	failRate    float64
+	failAt      time.Time
 }
 
 type peerLoad struct {
@@ -247,16 +248,21 @@
 	pause := min(firstPause<<min(r.failures, 10), longestPause)
 	r.failures++
 	r.avoidUntil = now.Add(pause)
-	r.failRate += delayWeight * (1 - r.failRate)
+	r.err(now)
 }
 
 // Erred notes that a replica answered with a failure of its own.
-func (p *Pool) Erred(id string) {
+func (p *Pool) Erred(now time.Time, id string) {
 	if r, ok := p.replicas[id]; ok {
-		r.failRate += delayWeight * (1 - r.failRate)
+		r.err(now)
 	}
 }
 
+func (r *replica) err(now time.Time) {
+	r.failRate += delayWeight * (1 - r.failRate)
+	r.failAt = now
+}
+
 // Refused notes that a replica refused a request without running it.
 func (p *Pool) Refused(now time.Time, id string) {
 	if r, ok := p.replicas[id]; ok {
--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,130 @@
+package pool
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusfold.dev/script"
+)
+
+// TestScripts: times are in milliseconds. Replicas have 4 slots, 10,000 tokens
+// of memory and bear 10 requests a second while cold.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
+		p := &Pool{Members: 2, DataCentre: "dc"}
+		return func(args []string) []string { return do(p, args) }
+	})
+}
+
+const (
+	coldRate = 10
+	memory   = 10_000
+)
+
+func do(p *Pool, args []string) []string {
+	switch args[0] {
+	case "replica":
+		p.Set(replicaOf(args))
+	case "remove":
+		p.Remove(at(args[1]), at(args[2]), args[3])
+	case "sweep":
+		return p.Sweep(at(args[1]))
+	case "begin":
+		p.Begin(args[1], number(args[2]), number(args[2]))
+	case "end":
+		p.End(args[1], number(args[2]))
+	case "peer":
+		p.HearPeer(at(args[1]), args[2], map[string]Load{args[3]: {Running: number(args[4]), Tokens: number(args[5])}})
+	case "failed":
+		p.Failed(at(args[1]), args[2])
+	case "erred":
+		p.Erred(at("0"), args[1])
+	case "succeeded":
+		p.Succeeded(args[1])
+	case "refused":
+		p.Refused(at(args[1]), args[2])
+	case "reloading":
+		p.Reloading(args[2], at(args[1]))
+	case "first":
+		p.FirstAnswer(at(args[1]), args[2], 0, time.Duration(number(args[3]))*time.Millisecond)
+	case "saw":
+		p.SawVersion(args[1], "m", number(args[2]))
+	case "choose":
+		return []string{choose(p, args)}
+	case "burst":
+		return []string{strconv.Itoa(burst(p, args))}
+	}
+	return nil
+}
+
+// replicaOf reads: replica ID [draining] [cold-until=MS] [version=N] [born=N] [in=DC].
+func replicaOf(args []string) Replica {
+	r := Replica{ID: args[1], Service: "s", DataCentre: "dc", Slots: 4, Versions: map[string]int{}}
+	for _, arg := range args[2:] {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "draining":
+			r.Draining = true
+		case "cold-until":
+			r.ColdUntil = at(value)
+		case "version":
+			r.Versions["m"] = number(value)
+		case "born":
+			r.Incarnation = int64(number(value))
+		case "in":
+			r.DataCentre = value
+		}
+	}
+	return r
+}
+
+// choose reads: choose MS [model] [tokens=N] [oldest=N] [closed=DC] [tried=ID].
+func choose(p *Pool, args []string) string {
+	req := Request{Service: "s", ColdRate: coldRate, Closed: map[string]bool{}, Tried: map[string]bool{}}
+	for _, arg := range args[2:] {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "model":
+			req.Model, req.Memory = "m", memory
+		case "tokens":
+			req.Tokens = number(value)
+		case "oldest":
+			req.Oldest = number(value)
+		case "closed":
+			req.Closed[value] = true
+		case "tried":
+			req.Tried[value] = true
+		case "home":
+			req.Home = value
+		}
+	}
+	c, reason := p.Choose(at(args[1]), req)
+	if reason != "" {
+		return string(reason)
+	}
+	if req.Model != "" {
+		return fmt.Sprintf("%s version %d", c.ID, c.Version)
+	}
+	return c.ID
+}
+
+// burst counts the requests that a replica gets in a second, one each 5 ms.
+func burst(p *Pool, args []string) int {
+	n := 0
+	for ms := 0; ms < 1000; ms += 5 {
+		if _, reason := p.Choose(at(args[1]).Add(time.Duration(ms)*time.Millisecond), Request{Service: "s", ColdRate: coldRate}); reason == "" {
+			n++
+		}
+	}
+	return n
+}
+
+func at(s string) time.Time { return time.UnixMilli(1_000_000 + int64(number(s))) }
+
+func number(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -213,10 +213,10 @@
 		up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
 		return errCrossed
 	case resp.Header.Get("Content-Encoding") != "":
-		up.With(func(p *pool.Pool) { p.Erred(t.ID) })
+		up.With(func(p *pool.Pool) { p.Erred(now, t.ID) })
 		return fmt.Errorf("the answer is encoded as %q, which nobody asked for", resp.Header.Get("Content-Encoding"))
 	case resp.StatusCode >= http.StatusInternalServerError:
-		up.With(func(p *pool.Pool) { p.Erred(t.ID) })
+		up.With(func(p *pool.Pool) { p.Erred(now, t.ID) })
 		if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.ctx.Err() == nil {
 			return errErred
 		}
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -30,11 +30,13 @@
 	shortestIdle = 300 * time.Millisecond
 	// maxIdle bounds the kept connections to one replica.
 	maxIdle = 16
-	// fetchLimit is how long a fetch from a store may take, and fetchShare the
-	// part of the time to the first event that it may take. A prompt whose fetch
-	// takes longer is read.
-	fetchLimit = 1500 * time.Millisecond
-	fetchShare = 0.45
+	// fetchLimit bounds the time that a fetch from a store may take. It has
+	// fetchShare of the wanted time to the first event, and fetchPerToken for each
+	// token that would have to be read instead: reading much takes capacity from
+	// all other requests, so it is worth a longer wait.
+	fetchLimit    = 1500 * time.Millisecond
+	fetchShare    = 0.45
+	fetchPerToken = 150 * time.Microsecond
 	// loadedLife is how long a change of weights is told to peers.
 	loadedLife = 5 * time.Second
 	// outLife is how long a replica stays out of use after it was last named.
@@ -242,19 +244,18 @@
 	if len(j.Pieces) == 0 || len(u.stores) == 0 {
 		return
 	}
-	limit := fetchLimit
-	if j.Target > 0 {
-		limit = min(limit, time.Duration(fetchShare*float64(j.Target)))
-	}
+	longest := time.Duration(0)
 	t.Fetch = make([]netip.AddrPort, len(j.Pieces))
 	t.Save = make([]netip.AddrPort, len(j.Pieces))
 	for i, piece := range j.Pieces[:len(j.Pieces)-1] {
 		part := directory.Part{Salt: t.Salt, ID: piece.ID}
 		u.dir.Asked(piece.Tokens)
+		limit := fetchTime(j.Target, piece.Tokens)
 		if store, ok := u.dir.Locate(part, piece.Tokens); ok && u.dir.Worth(now, store, piece.Tokens, limit) {
 			t.Fetch[i] = u.stores[store]
 			t.sources = append(t.sources, "+"+store)
 			t.fetched = append(t.fetched, store)
+			longest = max(longest, limit)
 			t.Reading -= piece.Tokens
 		} else if store, ok := u.dir.Reserve(now, part, piece.Tokens); ok {
 			t.Save[i] = u.stores[store]
@@ -264,8 +265,16 @@
 		}
 	}
 	if u.clockKnown {
-		t.FetchUntil = now.Add(u.clock + limit).UnixMilli()
+		t.FetchUntil = now.Add(u.clock + longest).UnixMilli()
+	}
+}
+
+// fetchTime is how long the fetch of a part may take.
+func fetchTime(target time.Duration, tokens int) time.Duration {
+	if target <= 0 {
+		return fetchLimit
 	}
+	return min(fetchLimit, time.Duration(fetchShare*float64(target))+time.Duration(tokens)*fetchPerToken)
 }
 
 // link returns the connections to a replica's incarnation.
