Read the settings again on SIGHUP instead of ending

Ruled out: the graceful stop; no SIGTERM was sent on those machines. Change: SIGHUP and a changed file read the settings again; a fault leaves what is in force. Context of old weights is freed 1.8 s after its last use, not 3 s.

--- a/cmd/crocus-edge/main.go
+++ b/cmd/crocus-edge/main.go
@@ -31,11 +31,19 @@
 
 func main() {
 	debug.SetGCPercent(heapGrowth)
-	d := daemon.Daemon{Name: "crocus-edge", Usage: usage, Load: load, SettingsVariable: platform.SettingsVariable}
+	p := &program{}
+	d := daemon.Daemon{
+		Name: "crocus-edge", Usage: usage, Load: p.load, Reload: p.reload, SettingsVariable: platform.SettingsVariable,
+	}
 	os.Exit(d.Main(os.Args[1:]))
 }
 
-func load(file string, logger log.Logger) (func(context.Context) error, error) {
+// program is the instance that runs.
+type program struct {
+	edge *edge.Edge
+}
+
+func (p *program) load(file string, logger log.Logger) (func(context.Context) error, error) {
 	cfg, err := platform.LoadSettings(file)
 	if err != nil {
 		return nil, fmt.Errorf("loading the settings: %w", err)
@@ -47,5 +55,15 @@
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
 		Control: platform.Control{Client: client}, ReadyPath: platform.ReadyPath,
 	}
-	return edge.NewEdge(cfg.Settings, out, net, log.With(logger, "instance", cfg.Name)).Run, nil
+	p.edge = edge.NewEdge(cfg.Settings, out, net, log.With(logger, "instance", cfg.Name))
+	return p.edge.Run, nil
+}
+
+func (p *program) reload(file string) error {
+	cfg, err := platform.LoadSettings(file)
+	if err != nil {
+		return fmt.Errorf("loading the settings: %w", err)
+	}
+	p.edge.Reload(cfg.Settings)
+	return nil
 }
--- /dev/null
+++ b/cmd/edge_test.go
@@ -0,0 +1,92 @@
+package cmd
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// output collects what a process prints. It is safe for concurrent use.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(b)
+}
+
+func (o *output) has(text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Contains(o.buf.String(), text)
+}
+
+// startEdge starts an instance whose platform does not answer.
+func startEdge(t *testing.T, host string) (file string, c *exec.Cmd, out *output) {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/edge/boot.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file = filepath.Join(t.TempDir(), "boot.json")
+	writeSettings(t, file, strings.ReplaceAll(string(raw), "HOST", host))
+	out = &output{}
+	c = exec.Command(filepath.Join(binaries(t), "crocus-edge"))
+	c.Env = append(os.Environ(), "CROCUSFOLD_CONFIG="+file)
+	c.Stdout, c.Stderr = out, out
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Process.Kill() })
+	f := &fleet{t: t}
+	f.until("the instance to serve", func() bool { return out.has("The instance serves.") })
+	return file, c, out
+}
+
+func writeSettings(t *testing.T, file, text string) {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestEdgeSettingsReread: SIGHUP must not end the process, and a bad file must
+// leave what is in force.
+func TestEdgeSettingsReread(t *testing.T) {
+	is := is.New(t)
+	const host = "127.20.0.9"
+	file, c, out := startEdge(t, host)
+	f := &fleet{t: t}
+	resp, err := http.Get("http://" + host + ":19202/api/readiness")
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // no configuration is known
+
+	is.NoErr(c.Process.Signal(syscall.SIGHUP))
+	f.until("the settings to be read again", func() bool { return out.has("Read the settings again.") })
+	writeSettings(t, file, "{")
+	is.NoErr(c.Process.Signal(syscall.SIGHUP))
+	f.until("the bad file to be refused", func() bool { return out.has("the old ones stay") })
+
+	is.NoErr(c.Process.Signal(syscall.SIGTERM))
+	done := make(chan error, 1)
+	go func() { done <- c.Wait() }()
+	select {
+	case err := <-done:
+		is.NoErr(err) // a graceful stop ends with code 0
+	case <-time.After(hangLimit):
+		t.Fatal("the instance did not stop")
+	}
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -2,12 +2,14 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/jessevdk/go-flags"
@@ -29,8 +31,14 @@
 	SettingsVariable string
 	// Load checks the settings file and returns what runs until ctx ends.
 	Load func(file string, logger log.Logger) (func(ctx context.Context) error, error)
+	// Reload reads the settings again after SIGHUP or a change of the file. A
+	// fault leaves what is in force. It may be nil.
+	Reload func(file string) error
 }
 
+// watchEvery is the pause between two looks whether the settings file changed.
+const watchEvery = 2 * time.Second
+
 type options struct {
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"the settings file"`
 }
@@ -60,18 +68,58 @@
 	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	// SIGHUP would end the process, so it is caught from the start.
+	hup := make(chan os.Signal, 1)
+	if d.Reload != nil {
+		signal.Notify(hup, syscall.SIGHUP)
+		defer signal.Stop(hup)
+	}
 	run, err := d.Load(opts.Settings, logger)
 	if err != nil {
 		return d.fail(err, exitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if d.Reload != nil {
+		go d.watch(ctx, hup, opts.Settings, logger)
+	}
 	if err := run(ctx); err != nil {
 		return d.fail(err, exitFailed)
 	}
 	return exitOK
 }
 
+// watch reloads the settings after SIGHUP or a change of the file.
+func (d Daemon) watch(ctx context.Context, hup <-chan os.Signal, file string, logger log.Logger) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	seen, err := os.ReadFile(file)
+	if err != nil {
+		_ = logger.Log("msg", "The settings file can't be read; waiting for it.", "err", err)
+	}
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-ticker.C:
+		}
+		raw, err := os.ReadFile(file)
+		if err == nil && !asked && bytes.Equal(raw, seen) {
+			continue
+		}
+		if err == nil {
+			seen = raw
+			err = d.Reload(file)
+		}
+		if err != nil && asked {
+			_ = logger.Log("msg", "The settings could not be read again; the old ones stay.", "err", err)
+		}
+	}
+}
+
 func (d Daemon) fail(err error, code int) int {
 	_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
 	return code
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -35,7 +35,7 @@
 	loadLimit = 2500 * time.Millisecond
 	// freeAfter is the time from the last use of weights until what stores hold
 	// of them is freed. It is longer than any fetch.
-	freeAfter = 3 * time.Second
+	freeAfter = 1800 * time.Millisecond
 	// cleanEvery is the pause between two looks at the stores.
 	cleanEvery = 700 * time.Millisecond
 )
@@ -43,7 +43,7 @@
 // Duty is safe for concurrent use. The exported fields must be set before Run.
 type Duty struct {
 	Name      string
-	Bounds    setup.Bounds
+	Bounds    *setup.Live
 	Log       outside.Log
 	Control   outside.Control
 	Topics    *topics.Topics
@@ -91,8 +91,8 @@
 	d.mu.Lock()
 	// Where replicas check fencing tokens, only those wait that the holder before
 	// took out of use; it told its peers before it ordered them.
-	if !d.Bounds.Fenced {
-		d.lease.Quiet = d.Bounds.Lease
+	if !d.Bounds.Bounds().Fenced {
+		d.lease.Quiet = d.Bounds.Bounds().Lease
 	}
 	d.reloads = map[string]*reload.Reload{}
 	d.retired = map[string]retired{}
@@ -146,7 +146,7 @@
 	defer d.mu.Unlock()
 	d.candidacy.Heard(now)
 	for id, at := range d.foreign {
-		if now.Sub(at) > 2*d.Bounds.Lease {
+		if now.Sub(at) > 2*d.Bounds.Bounds().Lease {
 			delete(d.foreign, id)
 		}
 	}
@@ -183,7 +183,7 @@
 	generation := d.lease.Generation()
 	held := d.lease.Held(d.Now())
 	d.mu.Unlock()
-	ttl := max(memberLife, d.Bounds.MembershipMin)
+	ttl := max(memberLife, d.Bounds.Bounds().MembershipMin)
 	sent := d.Now()
 	g, err := d.Log.Join(ctx, d.Name, ttl, generation)
 	if err != nil {
@@ -222,8 +222,8 @@
 	if !ok {
 		r = &reload.Reload{}
 		for id, at := range d.foreign {
-			if now.Sub(at) < d.Bounds.Lease && behind(engines, id, version) {
-				r.Adopt(now, at.Add(d.Bounds.Lease), id)
+			if now.Sub(at) < d.Bounds.Bounds().Lease && behind(engines, id, version) {
+				r.Adopt(now, at.Add(d.Bounds.Bounds().Lease), id)
 			}
 		}
 		d.reloads[model] = r
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -67,6 +67,7 @@
 	out       Outside
 	net       network.Network
 	logger    log.Logger
+	bounds    setup.Live
 	topics    *topics.Topics
 	upstreams *upstreams.Upstreams
 	gossip    *gossip.Gossip
@@ -83,10 +84,11 @@
 	part := func(name string) log.Logger { return log.With(logger, "part", name) }
 	self := roster.Member{Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre}
 	e := &Edge{cfg: cfg, out: out, net: network, logger: part("edge")}
+	e.bounds.Set(cfg.Bounds)
 	e.mesh = &mesh.Mesh{Self: self, Client: &http.Client{Transport: network.Transport()}}
 	e.upstreams = &upstreams.Upstreams{
 		Network: network, Decoder: out.Decoder, Now: clock.Now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
-		VersionLimit: cfg.Bounds.Version,
+		Bounds: &e.bounds,
 	}
 	e.topics = &topics.Topics{
 		Log: out.Log, Decoder: out.Decoder, Now: clock.Now, Logger: part("topics"),
@@ -94,7 +96,7 @@
 		OnIntent:    e.upstreams.Configure,
 	}
 	e.duty = &duty.Duty{
-		Name: cfg.Name, Bounds: cfg.Bounds, Log: out.Log, Control: out.Control,
+		Name: cfg.Name, Bounds: &e.bounds, Log: out.Log, Control: out.Control,
 		Topics: e.topics, Upstreams: e.upstreams, Now: clock.Now, Logger: part("duty"),
 	}
 	e.gossip = &gossip.Gossip{
@@ -106,12 +108,20 @@
 	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
-		Settings: cfg, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
+		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
 		Budget: e.budget, Now: clock.Now, Logger: part("relay"),
 	}
 	return e
 }
 
+// Reload puts changed bounds in force. Names and addresses need a new start.
+func (e *Edge) Reload(cfg setup.Settings) {
+	old := e.bounds.Bounds()
+	e.bounds.Set(cfg.Bounds)
+	_ = e.logger.Log("msg", "Read the settings again.", "bounds-changed", old != cfg.Bounds,
+		"addresses-changed", cfg.Front != e.cfg.Front || cfg.Ready != e.cfg.Ready || cfg.Peers != e.cfg.Peers)
+}
+
 // assumedMembers is the number of instances that share the slack of retries.
 const assumedMembers = 12
 
@@ -199,7 +209,7 @@
 
 // answerReady tells the balancer whether this instance should get connections.
 func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
-	limit := time.Duration(readyShare * float64(e.cfg.Bounds.Revoke))
+	limit := time.Duration(readyShare * float64(e.bounds.Bounds().Revoke))
 	age, proven := e.topics.ProofAge(clock.Now())
 	if e.leaving.Load() || e.topics.Intent() == nil || !proven || age > limit {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -220,13 +230,13 @@
 	e.duty.Leave(leave)
 	cancel()
 	for clock.Now().Sub(began) < unreadyWait || e.conns.Load() > 0 {
-		if clock.Now().Sub(began) > e.cfg.Bounds.Grace/2 {
+		if clock.Now().Sub(began) > e.bounds.Bounds().Grace/2 {
 			break
 		}
 		time.Sleep(listenRetry)
 	}
 	// Idle connections are closed now; running requests end.
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Bounds.Grace-stopMargin-clock.Now().Sub(began))
+	ctx, cancel := context.WithTimeout(context.Background(), e.bounds.Bounds().Grace-stopMargin-clock.Now().Sub(began))
 	defer cancel()
 	if err := front.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		_ = e.logger.Log("msg", "Requests still ran when the grace was over.", "in-flight", e.relay.InFlight())
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -36,7 +36,7 @@
 // Relay is the HTTP handler for callers. The exported fields must be set
 // before it serves.
 type Relay struct {
-	Settings  setup.Settings
+	Bounds    *setup.Live
 	Dialect   outside.Dialect
 	Topics    *topics.Topics
 	Upstreams *upstreams.Upstreams
@@ -154,7 +154,7 @@
 	if c.route.Public {
 		return nil
 	}
-	if !proven || age > c.relay.Settings.Bounds.Revoke-freshMargin {
+	if !proven || age > c.relay.Bounds.Bounds().Revoke-freshMargin {
 		return notRun("configuration-not-proven", time.Second)
 	}
 	if !known {
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,3 +44,20 @@
 	Seeds  []netip.AddrPort
 	Bounds Bounds
 }
+
+// Live holds the bounds in force, which change when the settings are read
+// again. The zero value has none.
+type Live struct {
+	bounds atomic.Pointer[Bounds]
+}
+
+// Set puts bounds in force.
+func (l *Live) Set(b Bounds) { l.bounds.Store(&b) }
+
+// Bounds returns the bounds in force.
+func (l *Live) Bounds() Bounds {
+	if b := l.bounds.Load(); b != nil {
+		return *b
+	}
+	return Bounds{}
+}
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -17,6 +17,7 @@
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/shell/network"
 )
 
@@ -50,9 +51,7 @@
 	Now        func() time.Time
 	Logger     log.Logger
 	DataCentre string
-	// VersionLimit is how long requests may still begin on weights that were
-	// replaced.
-	VersionLimit time.Duration
+	Bounds     *setup.Live
 
 	mu sync.Mutex
 	// named has the newest weight version of each model and when it was heard of.
@@ -72,7 +71,7 @@
 	at      time.Time
 }
 
-// versionMargin is taken off VersionLimit, for the time until a new version is
+// versionMargin is taken off the time for old weights, for the time until a new version is
 // heard of.
 const versionMargin = 500 * time.Millisecond
 
@@ -179,7 +178,7 @@
 // oldest returns the oldest weight version that requests may begin on.
 func (u *Upstreams) oldest(now time.Time, model string) int {
 	n := u.named[model]
-	if n.version > 0 && now.Sub(n.at) >= u.VersionLimit-versionMargin {
+	if n.version > 0 && now.Sub(n.at) >= u.Bounds.Bounds().Version-versionMargin {
 		return n.version
 	}
 	return 0
