Read context that no store holds at its home replica; a third out at once

Change: the home of a context, and the replica known to read it, are preferred by 20 us for each token that no store holds. A third of the replicas, not half, is out at once for new weights, after 0.4 s of draining.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -89,6 +89,8 @@
 type saving struct {
 	tokens int
 	until  time.Time
+	// reader is the replica that reads the part.
+	reader string
 }
 
 // Directory is the contents of all stores. The zero value knows none. It is not
@@ -229,20 +231,20 @@
 	return best, best != ""
 }
 
-// Saving reports whether a save of a part is under way.
-func (d *Directory) Saving(now time.Time, p Part) bool {
+// Reader returns the replica that reads a part whose save is under way.
+func (d *Directory) Reader(now time.Time, p Part) (string, bool) {
 	for _, s := range d.shelves {
 		if sv, ok := s.saving[p]; ok && now.Before(sv.until) {
-			return true
+			return sv.reader, true
 		}
 	}
-	return false
+	return "", false
 }
 
 // Reserve chooses a store with room for a part that none holds, and notes that
-// it is being saved there.
-func (d *Directory) Reserve(now time.Time, p Part, tokens int) (string, bool) {
-	if d.Saving(now, p) {
+// it is being saved there by a replica that reads it.
+func (d *Directory) Reserve(now time.Time, p Part, tokens int, reader string) (string, bool) {
+	if _, ok := d.Reader(now, p); ok {
 		return "", false
 	}
 	best, top := "", 0.0
@@ -264,7 +266,7 @@
 	if best == "" {
 		return "", false
 	}
-	d.shelves[best].saving[p] = saving{tokens, now.Add(savingLimit)}
+	d.shelves[best].saving[p] = saving{tokens, now.Add(savingLimit), reader}
 	return best, true
 }
 
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -43,8 +43,12 @@
 				return []string{strings.TrimSpace(store + " " + strconv.FormatBool(ok))}
 			case "reserve":
 				p, tokens := part(args[2])
-				store, ok := d.Reserve(at(args[1]), p, tokens)
+				store, ok := d.Reserve(at(args[1]), p, tokens, "r1")
 				return []string{strings.TrimSpace(store + " " + strconv.FormatBool(ok))}
+			case "reader":
+				p, _ := part(args[2])
+				reader, ok := d.Reader(at(args[1]), p)
+				return []string{strings.TrimSpace(reader + " " + strconv.FormatBool(ok))}
 			case "synced":
 				return []string{fmt.Sprint(d.Synced(args[1]))}
 			case "free":
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -17,8 +17,12 @@
 	// Tokens is the memory that the request needs, Reading the part of its
 	// prompt that has to be read.
 	Tokens, Reading int
-	// Home selects the replicas that the same context returns to.
-	Home string
+	// Home selects the replicas that the same context returns to. Missing is the
+	// number of tokens of its context that no store holds, and Reader the replica
+	// that is known to read them.
+	Home    string
+	Missing int
+	Reader  string
 	// ColdRate is the number of requests per second that a cold replica bears.
 	ColdRate float64
 	// Memory is that of a replica in tokens; 0 if it has no limit.
@@ -56,6 +60,10 @@
 	// homeGain is the time that the first home of a context is preferred by;
 	// the second home has half of it.
 	homeGain = 16 * time.Millisecond
+	// missingGain is the time for each missing token that the replica where it is
+	// likely read, or cached, is preferred by. All instances agree on the homes,
+	// so that a context is not read in several places at once.
+	missingGain = 20 * time.Microsecond
 	// nearGain prefers replicas of the own data centre.
 	nearGain = 4 * time.Millisecond
 	// waitingDelay is what each request that waits at a replica adds.
@@ -134,6 +142,7 @@
 	}
 	usual := usualDelay(open)
 	first, second := homes(req.Home, open)
+	gain := homeGain + time.Duration(req.Missing)*missingGain
 	var best *replica
 	var least time.Duration
 	for i, r := range open {
@@ -144,11 +153,13 @@
 		if r.Versions[req.Model] < newest {
 			cost += oldVersionDelay
 		}
-		switch i {
-		case first:
-			cost -= homeGain
-		case second:
-			cost -= homeGain / 2
+		switch {
+		case r.ID == req.Reader:
+			cost -= 2 * gain
+		case i == first:
+			cost -= gain
+		case i == second:
+			cost -= gain / 2
 		}
 		if best == nil || cost < least || cost == least && r.ID < best.ID {
 			best, least = r, cost
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -153,6 +153,17 @@
 	return out
 }
 
+// Newest returns the newest weight version that a replica of a service holds.
+func (p *Pool) Newest(service, model string) int {
+	newest := 0
+	for _, r := range p.replicas {
+		if r.Service == service {
+			newest = max(newest, r.Versions[model])
+		}
+	}
+	return newest
+}
+
 // Own returns this instance's work in flight by replica.
 func (p *Pool) Own() map[string]Load {
 	out := map[string]Load{}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -99,6 +99,10 @@
 			req.Tried[value] = true
 		case "home":
 			req.Home = value
+		case "reader":
+			req.Reader = value
+		case "missing":
+			req.Missing = number(value)
 		}
 	}
 	c, reason := p.Choose(at(args[1]), req)
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -52,14 +52,14 @@
 	// drainLimit is how long an engine is drained before its weights change under
 	// the requests that still run. Most have ended by then, and the capacity that
 	// is missing meanwhile costs more than the rest of the others.
-	drainLimit = 600 * time.Millisecond
+	drainLimit = 400 * time.Millisecond
 	// refusedRetry is the pause before an order that was refused is sent again.
 	refusedRetry = 150 * time.Millisecond
 	// orderRetry is how long an order may go without effect before it is sent again.
 	orderRetry = 2500 * time.Millisecond
-	// outShare is the share of the engines that may be out at once. Loads slow
-	// each other in proportion, so more at once do not take longer in all.
-	outShare = 0.5
+	// outShare is the share of the engines that may be out at once. The others
+	// must carry the load, and read their context anew.
+	outShare = 0.34
 )
 
 type progress struct {
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -224,6 +224,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	j.Oldest = u.oldest(now, j.Model)
+	u.findMissing(now, &j)
 	choice, reason := u.pool.Choose(now, j.Request)
 	if reason != "" {
 		return nil, reason
@@ -236,6 +237,24 @@
 	return t, ""
 }
 
+// findMissing notes how much of a prompt's context no store holds, and who reads it.
+func (u *Upstreams) findMissing(now time.Time, j *Job) {
+	if j.Model == "" || len(j.Pieces) < 2 {
+		return
+	}
+	salt := directory.Salt(j.Model, u.pool.Newest(j.Service, j.Model), j.Wall)
+	for _, piece := range j.Pieces[:len(j.Pieces)-1] {
+		part := directory.Part{Salt: salt, ID: piece.ID}
+		if _, ok := u.dir.Locate(part, piece.Tokens); ok {
+			continue
+		}
+		j.Missing += piece.Tokens
+		if reader, ok := u.dir.Reader(now, part); ok {
+			j.Reader = reader
+		}
+	}
+}
+
 // planContext chooses for each piece but the last, which is the request's own,
 // where it is fetched from or saved to.
 func (u *Upstreams) planContext(now time.Time, j Job, t *Ticket) {
@@ -256,7 +275,7 @@
 			t.fetched = append(t.fetched, store)
 			longest = max(longest, limit)
 			t.Reading -= piece.Tokens
-		} else if store, ok := u.dir.Reserve(now, part, piece.Tokens); ok {
+		} else if store, ok := u.dir.Reserve(now, part, piece.Tokens, t.ID); ok {
 			t.Save[i] = u.stores[store]
 			t.sources = append(t.sources, ">"+store)
 		} else {
