--- a/cmd/crocus-edge/main.go
+++ b/cmd/crocus-edge/main.go
@@ -13,6 +13,7 @@
 	"crocusfold.dev/cmd/internal/daemon"
 	"crocusfold.dev/entry/edge"
 	"crocusfold.dev/platform"
+	"crocusfold.dev/shell/clock"
 	"crocusfold.dev/shell/network"
 )
 
@@ -55,7 +56,7 @@
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
 		Control: platform.Control{Client: client}, ReadyPath: platform.ReadyPath,
 	}
-	p.edge = edge.NewEdge(cfg.Settings, out, net, log.With(logger, "instance", cfg.Name))
+	p.edge = edge.NewEdge(cfg.Settings, out, net, clock.Now, log.With(logger, "instance", cfg.Name))
 	return p.edge.Run, nil
 }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -9,6 +9,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,6 @@
 	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/entry/upstreams"
-	"crocusfold.dev/shell/clock"
 	"crocusfold.dev/shell/network"
 	"crocusfold.dev/shell/peer"
 )
@@ -66,6 +66,7 @@
 	cfg       setup.Settings
 	out       Outside
 	net       network.Network
+	now       func() time.Time
 	logger    log.Logger
 	bounds    setup.Live
 	topics    *topics.Topics
@@ -79,29 +80,30 @@
 	conns     atomic.Int64
 }
 
-// NewEdge builds an instance.
-func NewEdge(cfg setup.Settings, out Outside, network network.Network, logger log.Logger) *Edge {
+// NewEdge builds an instance. The clock must also count the time in which the
+// machine was suspended.
+func NewEdge(cfg setup.Settings, out Outside, network network.Network, now func() time.Time, logger log.Logger) *Edge {
 	part := func(name string) log.Logger { return log.With(logger, "part", name) }
 	self := roster.Member{Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre}
-	e := &Edge{cfg: cfg, out: out, net: network, logger: part("edge")}
+	e := &Edge{cfg: cfg, out: out, net: network, now: now, logger: part("edge")}
 	e.bounds.Set(cfg.Bounds)
 	e.mesh = &mesh.Mesh{Self: self, Client: &http.Client{Transport: network.Transport()}}
 	e.upstreams = &upstreams.Upstreams{
-		Network: network, Decoder: out.Decoder, Now: clock.Now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
+		Network: network, Decoder: out.Decoder, Now: now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
 		Bounds: &e.bounds,
 	}
 	e.topics = &topics.Topics{
-		Log: out.Log, Decoder: out.Decoder, Now: clock.Now, Logger: part("topics"),
+		Log: out.Log, Decoder: out.Decoder, Now: now, Logger: part("topics"),
 		OnUpstreams: e.upstreams.TakeReplicas,
 		OnIntent:    e.upstreams.Configure,
 	}
 	e.duty = &duty.Duty{
 		Name: cfg.Name, Bounds: &e.bounds, Log: out.Log, Control: out.Control,
-		Topics: e.topics, Upstreams: e.upstreams, Now: clock.Now, Logger: part("duty"),
+		Topics: e.topics, Upstreams: e.upstreams, Now: now, Logger: part("duty"),
 	}
 	e.gossip = &gossip.Gossip{
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
-		Now: clock.Now, Logger: part("peers"), Duty: e.duty,
+		Now: now, Logger: part("peers"), Duty: e.duty,
 	}
 	e.topics.OnInstances = e.gossip.TakeInstances
 	e.duty.Nudge, e.duty.Rank = e.gossip.Nudge, e.gossip.Rank
@@ -109,7 +111,7 @@
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: clock.Now, Logger: part("relay"),
+		Budget: e.budget, Now: now, Logger: part("relay"),
 	}
 	return e
 }
@@ -138,21 +140,20 @@
 	ready.HandleFunc("GET "+e.out.ReadyPath, e.answerReady)
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, e.mesh.Accept())
-	errs := make(chan error, 3)
-	for _, s := range []struct {
-		server *http.Server
-		listen func() (net.Listener, error)
-	}{
-		{front, func() (net.Listener, error) { return e.net.Listen(e.cfg.Front) }},
-		{&http.Server{Handler: ready, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}, func() (net.Listener, error) { return e.net.Listen(e.cfg.Ready) }},
-		{&http.Server{Handler: peers, ReadHeaderTimeout: headerLimit}, func() (net.Listener, error) { return e.net.Listen(e.cfg.Peers) }},
-	} {
-		ln, err := listenRetrying(s.listen)
+	back := []*http.Server{{Handler: ready, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}, {Handler: peers, ReadHeaderTimeout: headerLimit}}
+	errs := make(chan error, 1+len(back))
+	for server, address := range map[*http.Server]netip.AddrPort{front: e.cfg.Front, back[0]: e.cfg.Ready, back[1]: e.cfg.Peers} {
+		ln, err := e.listen(address)
 		if err != nil {
 			return fmt.Errorf("listening: %w", err)
 		}
-		go func() { errs <- s.server.Serve(ln) }()
+		go func() { errs <- server.Serve(ln) }()
 	}
+	defer func() {
+		for _, server := range back {
+			_ = server.Close()
+		}
+	}()
 	var wg sync.WaitGroup
 	wg.Go(func() { e.topics.Run(work) })
 	wg.Go(func() { e.gossip.Run(work) })
@@ -171,9 +172,10 @@
 	return nil
 }
 
-func listenRetrying(listen func() (net.Listener, error)) (net.Listener, error) {
+// listen binds an address, which a process that has just ended may still hold.
+func (e *Edge) listen(address netip.AddrPort) (net.Listener, error) {
 	for n := 1; ; n++ {
-		ln, err := listen()
+		ln, err := e.net.Listen(address)
 		if err == nil || n == listenTries {
 			return ln, err
 		}
@@ -210,7 +212,7 @@
 // answerReady tells the balancer whether this instance should get connections.
 func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
 	limit := time.Duration(readyShare * float64(e.bounds.Bounds().Revoke))
-	age, proven := e.topics.ProofAge(clock.Now())
+	age, proven := e.topics.ProofAge(e.now())
 	if e.leaving.Load() || e.topics.Intent() == nil || !proven || age > limit {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -221,7 +223,7 @@
 // shutDown turns the instance unready, serves what still comes, and ends when
 // no connection is left or the grace is over.
 func (e *Edge) shutDown(front *http.Server) {
-	began := clock.Now()
+	began := e.now()
 	e.leaving.Store(true)
 	e.relay.Leave()
 	e.gossip.Leave()
@@ -229,14 +231,14 @@
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	e.duty.Leave(leave)
 	cancel()
-	for clock.Now().Sub(began) < unreadyWait || e.conns.Load() > 0 {
-		if clock.Now().Sub(began) > e.bounds.Bounds().Grace/2 {
+	for e.now().Sub(began) < unreadyWait || e.conns.Load() > 0 {
+		if e.now().Sub(began) > e.bounds.Bounds().Grace/2 {
 			break
 		}
 		time.Sleep(listenRetry)
 	}
 	// Idle connections are closed now; running requests end.
-	ctx, cancel := context.WithTimeout(context.Background(), e.bounds.Bounds().Grace-stopMargin-clock.Now().Sub(began))
+	ctx, cancel := context.WithTimeout(context.Background(), e.bounds.Bounds().Grace-stopMargin-e.now().Sub(began))
 	defer cancel()
 	if err := front.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		_ = e.logger.Log("msg", "Requests still ran when the grace was over.", "in-flight", e.relay.InFlight())
