Let one instance of a data centre read the list of replicas

Ruled out: slower reads, since a leaving replica must be known within 2 s. Change: the first live instance of a data centre reads the list, the others take it from that one; lists of stores at most each 4 s.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -105,7 +105,7 @@
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
 		Now: now, Logger: part("peers"), Duty: e.duty,
 	}
-	e.topics.OnInstances = e.gossip.TakeInstances
+	e.topics.OnInstances, e.topics.Reads = e.gossip.TakeInstances, e.gossip.Reads
 	e.duty.Nudge, e.duty.Rank = e.gossip.Nudge, e.gossip.Rank
 	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -30,6 +30,8 @@
 	slowest = 2 * time.Second
 	// peerLife is how long a silent peer counts as one that answers.
 	peerLife = 1200 * time.Millisecond
+	// knownEvery is the pause between two messages that list the known instances.
+	knownEvery = time.Second
 	// memberLife is how long a silent peer still counts as one that shares limits.
 	memberLife = 30 * time.Second
 )
@@ -50,7 +52,9 @@
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
 	leaving bool
-	nudge   chan struct{}
+	// toldKnown is when the known instances were last told.
+	toldKnown time.Time
+	nudge     chan struct{}
 }
 
 // Duty is what is told and heard of the duties.
@@ -202,7 +206,7 @@
 		return
 	}
 	g.hear(now, ans)
-	for _, topic := range g.Topics.Hear(now, sent, ans.Views) {
+	for _, topic := range g.Topics.Hear(now, sent, ans.Views, g.isReader(now, to.Name)) {
 		g.pull(ctx, to, topic)
 	}
 }
@@ -253,6 +257,25 @@
 	g.Upstreams.Hear(now, m)
 }
 
+// Reads reports whether this instance is the first of its data centre that
+// answers, which reads the list of replicas for the others.
+func (g *Gossip) Reads(now time.Time) bool { return g.reader(now) == g.Self.Name }
+
+func (g *Gossip) isReader(now time.Time, name string) bool { return g.reader(now) == name }
+
+func (g *Gossip) reader(now time.Time) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := g.Self.Name
+	for _, p := range g.peers {
+		live := !p.heard.IsZero() && now.Sub(p.heard) < peerLife && !p.Leaving
+		if live && p.DataCentre == g.Self.DataCentre && p.Name < first {
+			first = p.Name
+		}
+	}
+	return first
+}
+
 // Rank returns how many instances that answer come before this one by name, and
 // whether most of the known ones answer.
 func (g *Gossip) Rank(now time.Time) (rank int, most bool) {
@@ -280,6 +303,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Leaving = g.leaving
+	if now.Sub(g.toldKnown) < knownEvery {
+		return m
+	}
+	g.toldKnown = now
 	for _, p := range g.peers {
 		if !p.heard.IsZero() && now.Sub(p.heard) < slowest {
 			m.Known = append(m.Known, p.Member)
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -19,11 +19,16 @@
 // Times of following a topic.
 const (
 	// operationsWait is how long a read of the operators' records waits. Each
-	// answer proves that the view is complete.
-	operationsWait = time.Second
+	// answer proves that the view was complete when the read was sent, so the
+	// newest proof is up to twice as old.
+	operationsWait = 1200 * time.Millisecond
+	// staleAfter is the age of a proof from which a peer's view is asked for.
+	staleAfter = time.Second
 	// upstreamsEvery is the pause between reads of the list of replicas, which
 	// changes several times a second.
 	upstreamsEvery = 600 * time.Millisecond
+	// followedLimit is the age of the list from which an instance reads it itself.
+	followedLimit = 1400 * time.Millisecond
 	// instancesWait is how long a read of the list of instances waits.
 	instancesWait = 20 * time.Second
 	// firstBackoff and longestBackoff bound the pause after a failed read.
@@ -49,6 +54,9 @@
 	OnUpstreams func(now time.Time, changed []feed.Record, removeAt time.Time)
 	// OnInstances takes changes of the list of instances.
 	OnInstances func(changed []feed.Record)
+	// Reads reports whether this instance reads the list of replicas for its data
+	// centre; the others take it from that one while it is fresh.
+	Reads func(now time.Time) bool
 	// OnIntent takes a new intent.
 	OnIntent func(in *outside.Intent)
 
@@ -119,6 +127,9 @@
 	loaded, next := t.feeds[topic].Loaded(), t.feeds[topic].Next()
 	t.mu.Unlock()
 	sent := t.Now()
+	if topic == outside.Upstreams && loaded && !t.Reads(sent) && t.fresh(sent) {
+		return nil
+	}
 	if !loaded {
 		return t.load(ctx, topic, sent)
 	}
@@ -134,6 +145,13 @@
 	return nil
 }
 
+// fresh reports whether the list of replicas came from a peer lately.
+func (t *Topics) fresh(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.feeds[outside.Upstreams].Current(now, followedLimit)
+}
+
 func (t *Topics) load(ctx context.Context, topic outside.Topic, sent time.Time) error {
 	records, end, err := t.Log.Newest(ctx, topic)
 	if err != nil {
@@ -240,8 +258,9 @@
 }
 
 // Hear takes a peer's views, asked for at sent. It returns the topics whose
-// records should be asked for because this instance can't read them itself.
-func (t *Topics) Hear(now, sent time.Time, views []message.ViewState) []outside.Topic {
+// records should be asked for: those that this instance can't read itself, and
+// the list of replicas if the peer reads it for the data centre.
+func (t *Topics) Hear(now, sent time.Time, views []message.ViewState, fromReader bool) []outside.Topic {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var behind []outside.Topic
@@ -254,7 +273,11 @@
 			f.Prove(sent.Add(-views[i].ProofAge), views[i].Next)
 			continue
 		}
-		if !f.Loaded() || now.Sub(f.Proof()) > operationsWait {
+		stale := now.Sub(f.Proof()) > staleAfter
+		if topic == outside.Upstreams && fromReader {
+			stale = now.Sub(f.Proof()) > upstreamsEvery
+		}
+		if !f.Loaded() || stale {
 			behind = append(behind, topic)
 		}
 	}
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -16,9 +16,11 @@
 	// eventsEvery is the least time between two reads, which bounds their cost.
 	eventsEvery = 120 * time.Millisecond
 	// listEvery is how often the whole contents are compared, since events get lost.
-	listEvery = 7 * time.Second
-	// listAfterGap is the least time between two lists.
-	listAfterGap = time.Second
+	listEvery = 10 * time.Second
+	// listAfterGap is the least time between two lists, which are large.
+	listAfterGap = 4 * time.Second
+	// storesEvery is the pause between two looks at which stores there are.
+	storesEvery = time.Second
 	// storeBackoff is the pause after a store could not be reached.
 	storeBackoff = 400 * time.Millisecond
 )
@@ -26,7 +28,7 @@
 // FollowStores keeps the directory up to date until ctx ends.
 func (u *Upstreams) FollowStores(ctx context.Context, control outside.Control) {
 	running := map[string]context.CancelFunc{}
-	ticker := time.NewTicker(listAfterGap)
+	ticker := time.NewTicker(storesEvery)
 	defer ticker.Stop()
 	for {
 		stores := u.Stores()
