Write logs off the request path, bounded, and serve metrics

Cause: each log line was written to standard error by the request that made it. Ruled out: dropping the line of each request, since on-call needs it.

--- a/cmd/crocus-edge/main.go
+++ b/cmd/crocus-edge/main.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -14,6 +15,7 @@
 	"crocusfold.dev/entry/edge"
 	"crocusfold.dev/platform"
 	"crocusfold.dev/shell/clock"
+	"crocusfold.dev/shell/logsink"
 	"crocusfold.dev/shell/network"
 )
 
@@ -33,10 +35,14 @@
 func main() {
 	debug.SetGCPercent(heapGrowth)
 	p := &program{}
+	sink := logsink.NewSink(os.Stdout, time.Now)
 	d := daemon.Daemon{
 		Name: "crocus-edge", Usage: usage, Load: p.load, Reload: p.reload, SettingsVariable: platform.SettingsVariable,
+		Log: sink,
 	}
-	os.Exit(d.Main(os.Args[1:]))
+	code := d.Main(os.Args[1:])
+	sink.Close()
+	os.Exit(code)
 }
 
 // program is the instance that runs.
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -29,6 +30,8 @@
 	// SettingsVariable is an environment variable with the path of the settings
 	// file, for when the option is not given. Empty means that there is none.
 	SettingsVariable string
+	// Log is where log lines go; nil means standard error.
+	Log io.Writer
 	// Load checks the settings file and returns what runs until ctx ends.
 	Load func(file string, logger log.Logger) (func(ctx context.Context) error, error)
 	// Reload reads the settings again after SIGHUP or a change of the file. A
@@ -66,7 +69,11 @@
 	if opts.Settings == "" {
 		return d.fail(errors.New("the required flag `-s, --settings' was not specified"), exitUsage)
 	}
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	out := d.Log
+	if out == nil {
+		out = log.NewSyncWriter(os.Stderr)
+	}
+	logger := log.NewLogfmtLogger(out)
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	// SIGHUP would end the process, so it is caught from the start.
 	hup := make(chan os.Signal, 1)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
@@ -48,6 +51,11 @@
 	stopMargin = 600 * time.Millisecond
 	// announceEvery is how often the instance's own record is tried to be written.
 	announceEvery = 500 * time.Millisecond
+	// metricsEvery is how often counters are added up.
+	metricsEvery = 2 * time.Second
+	// metricsPort and metricsPath are where the metrics are served.
+	metricsPort = 9464
+	metricsPath = "/metrics"
 	// retryShare is the part of the allowed retries that the instances use.
 	retryShare = 0.8
 )
@@ -78,6 +86,10 @@
 	budget    *retry.Budget
 	leaving   atomic.Bool
 	conns     atomic.Int64
+
+	metricsPage  http.Handler
+	closeMetrics io.Closer
+	gauges       func(now time.Time)
 }
 
 // NewEdge builds an instance. The clock must also count the time in which the
@@ -111,11 +123,42 @@
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: now, Logger: part("relay"),
+		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(e.metrics()),
 	}
 	return e
 }
 
+// metrics opens the root of the metrics and notes the page that shows them.
+func (e *Edge) metrics() tally.Scope {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "crocusfold", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
+	}, metricsEvery)
+	e.metricsPage, e.closeMetrics = reporter.HTTPHandler(), closer
+	proof := scope.Gauge("proof_age_seconds")
+	holder := scope.Gauge("duty_held")
+	inFlight := scope.Gauge("in_flight")
+	e.gauges = func(now time.Time) {
+		if age, ok := e.topics.ProofAge(now); ok {
+			proof.Update(age.Seconds())
+		}
+		held := 0.0
+		if e.duty.Holds(now) {
+			held = 1
+		}
+		holder.Update(held)
+		inFlight.Update(float64(e.relay.InFlight()))
+	}
+	return scope
+}
+
+// showMetrics updates the gauges and serves the page.
+func (e *Edge) showMetrics(w http.ResponseWriter, r *http.Request) {
+	e.gauges(e.now())
+	e.metricsPage.ServeHTTP(w, r)
+}
+
 // Reload puts changed bounds in force. Names and addresses need a new start.
 func (e *Edge) Reload(cfg setup.Settings) {
 	old := e.bounds.Bounds()
@@ -138,11 +181,13 @@
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+e.out.ReadyPath, e.answerReady)
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("GET "+metricsPath, e.showMetrics)
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, e.mesh.Accept())
-	back := []*http.Server{{Handler: ready, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}, {Handler: peers, ReadHeaderTimeout: headerLimit}}
+	back := []*http.Server{{Handler: ready, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}, {Handler: peers, ReadHeaderTimeout: headerLimit}, {Handler: metrics, ReadHeaderTimeout: headerLimit}}
 	errs := make(chan error, 1+len(back))
-	for server, address := range map[*http.Server]netip.AddrPort{front: e.cfg.Front, back[0]: e.cfg.Ready, back[1]: e.cfg.Peers} {
+	for server, address := range map[*http.Server]netip.AddrPort{front: e.cfg.Front, back[0]: e.cfg.Ready, back[1]: e.cfg.Peers, back[2]: netip.AddrPortFrom(e.cfg.Front.Addr(), metricsPort)} {
 		ln, err := e.listen(address)
 		if err != nil {
 			return fmt.Errorf("listening: %w", err)
@@ -153,6 +198,7 @@
 		for _, server := range back {
 			_ = server.Close()
 		}
+		_ = e.closeMetrics.Close()
 	}()
 	var wg sync.WaitGroup
 	wg.Go(func() { e.topics.Run(work) })
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -111,6 +111,7 @@
 		t, reason := c.relay.Upstreams.Place(now, job)
 		if reason == "" {
 			c.note.replica, c.note.version, c.note.context = t.ID, t.Version, t.Context()
+			c.note.fetched, c.note.saved = t.Parts()
 			c.note.placed = now.Sub(c.began)
 			return t, nil
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -43,6 +43,7 @@
 	Budget    *retry.Budget
 	Now       func() time.Time
 	Logger    log.Logger
+	Metrics   *Metrics
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -81,6 +82,7 @@
 type note struct {
 	replica, context, outcome string
 	version, tries, status    int
+	fetched, saved            int
 	proofAge, firstByte       time.Duration
 	placed                    time.Duration
 }
@@ -106,6 +108,7 @@
 		c.refuse(ref)
 	}
 	c.log()
+	rl.Metrics.count(c)
 	if c.abort {
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -208,6 +208,19 @@
 	return strings.Join(t.sources, ",")
 }
 
+// Parts returns the number of pieces that are fetched and saved.
+func (t *Ticket) Parts() (fetched, saved int) {
+	for _, source := range t.sources {
+		switch source[0] {
+		case '+':
+			fetched++
+		case '>':
+			saved++
+		}
+	}
+	return fetched, saved
+}
+
 // Job is what a placement depends on beyond the pool's request.
 type Job struct {
 	pool.Request
