--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -354,7 +354,7 @@
 		Replica: r.ID, Model: model, Version: a.Version, Keep: a.Keep, Holder: d.Name, Fence: fence, Seq: seq,
 	})
 	_ = d.Logger.Log("msg", "Ordered a replica to load weights.", "replica", r.ID, "model", model, "version", a.Version,
-		"keep", a.Keep, "fence", fence, "result", int(result), "err", err)
+		"keep", a.Keep, "fence", fence, "result", result, "err", err)
 	if result == outside.OrderFenced && err == nil {
 		// A newer holder has ordered this replica, so the duty is not ours.
 		d.mu.Lock()
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -216,10 +216,10 @@
 	sent := g.Now()
 	c, err := mesh.Ask[message.ViewCopy](ctx, g.Mesh, from, message.ViewAsk{Topic: int(topic)})
 	if err != nil {
-		_ = g.Logger.Log("msg", "A peer's view did not arrive.", "peer", from.Name, "topic", int(topic), "err", err)
+		_ = g.Logger.Log("msg", "A peer's view did not arrive.", "peer", from.Name, "topic", topic, "err", err)
 		return
 	}
-	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", int(topic), "next", c.Next, "age", c.ProofAge)
+	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", topic, "next", c.Next, "age", c.ProofAge)
 	g.Topics.Merge(sent, topic, c)
 }
 
--- a/entry/outside/outside.go
+++ b/entry/outside/outside.go
@@ -32,6 +32,19 @@
 	Instances
 )
 
+// String names a topic for the log.
+func (t Topic) String() string {
+	switch t {
+	case Operations:
+		return "operations"
+	case Upstreams:
+		return "upstreams"
+	case Instances:
+		return "instances"
+	}
+	return "unknown"
+}
+
 // Log is the platform's log.
 type Log interface {
 	// Newest returns the newest record of each key, and the offset from which
@@ -127,6 +140,15 @@
 // OrderResult says what a replica made of an order.
 type OrderResult int
 
+// String names a result for the log.
+func (r OrderResult) String() string {
+	names := [...]string{"accepted", "holds", "busy", "fenced", "elsewhere", "invalid"}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // The results of orders.
 const (
 	OrderAccepted OrderResult = iota
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -106,10 +106,10 @@
 
 func (t *Topics) logDependency(topic outside.Topic, err error) {
 	if err != nil {
-		_ = t.Logger.Log("msg", "Lost the platform's log.", "topic", int(topic), "err", err)
+		_ = t.Logger.Log("msg", "Lost the platform's log.", "topic", topic, "err", err)
 		return
 	}
-	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", int(topic))
+	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -108,11 +108,19 @@
 		old, known := u.pool.Replica(r.ID)
 		u.pool.Set(r)
 		if !known || old.Draining != r.Draining || old.Incarnation != r.Incarnation {
-			_ = u.Logger.Log("msg", "A replica changed.", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "cold", r.ColdUntil.Sub(now), "offset", rec.Offset)
+			_ = u.Logger.Log("msg", "A replica changed.", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "cold-for", coldFor(now, r), "offset", rec.Offset)
 		}
 	}
 }
 
+// coldFor returns how much longer a replica is cold.
+func coldFor(now time.Time, r pool.Replica) time.Duration {
+	if r.ColdUntil.IsZero() {
+		return 0
+	}
+	return max(0, r.ColdUntil.Sub(now))
+}
+
 func (u *Upstreams) remove(now, at time.Time, id string) {
 	u.pool.Remove(now, at, id)
 	_ = u.Logger.Log("msg", "A replica left the list.", "replica", id, "removed-in", at.Sub(now))
