Ask a store for the events after the last one that was read

Ruled out: lost events (1 in 100) and slow saves. Change: the directory keeps the number of the last event.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -52,8 +52,10 @@
 
 // Listing is the whole contents of a store.
 type Listing struct {
-	Epoch, Next uint64
-	Held        map[Part]int
+	Epoch uint64
+	// Last is the number of the newest event that the listing includes.
+	Last uint64
+	Held map[Part]int
 	// Partial holds the parts that are being written or whose writing broke
 	// off, with the space reserved for them.
 	Partial map[Part]int
@@ -70,7 +72,8 @@
 type shelf struct {
 	Space
 	epoch uint64
-	next  uint64
+	// last is the number of the newest event that was read.
+	last uint64
 	// listed is true once the contents were read in this epoch.
 	listed bool
 	// synced is false until a listing was read after a gap in the events.
@@ -121,10 +124,10 @@
 	}
 }
 
-// Position returns the store's epoch and the number of the next event to read.
-func (d *Directory) Position(store string) (epoch, next uint64) {
+// Position returns the store's epoch and the number of the last event that was read.
+func (d *Directory) Position(store string) (epoch, last uint64) {
 	if s, ok := d.shelves[store]; ok {
-		return s.epoch, s.next
+		return s.epoch, s.last
 	}
 	return 0, 0
 }
@@ -137,7 +140,7 @@
 
 // Apply takes events of a store in its epoch. A new epoch means that the store
 // restarted empty.
-func (d *Directory) Apply(store string, epoch, next uint64, lost bool, events []Event) {
+func (d *Directory) Apply(store string, epoch, last uint64, lost bool, events []Event) {
 	s, ok := d.shelves[store]
 	if !ok {
 		return
@@ -149,25 +152,25 @@
 		s.synced = false
 	}
 	for _, ev := range events {
-		if s.next > 0 && ev.Number > s.next {
+		if s.listed && ev.Number > s.last+1 {
 			s.synced = false
 		}
-		s.next = ev.Number + 1
+		s.last = max(s.last, ev.Number)
 		s.apply(ev)
 	}
-	s.next = max(s.next, next)
+	s.last = max(s.last, last)
 }
 
 // Replace takes the whole contents of a store.
 func (d *Directory) Replace(store string, l Listing) {
 	s, ok := d.shelves[store]
-	if !ok || l.Epoch == s.epoch && l.Next < s.next {
+	if !ok || l.Epoch == s.epoch && l.Last < s.last {
 		return
 	}
 	if l.Epoch != s.epoch {
 		s.reset(l.Epoch)
 	}
-	s.next, s.listed, s.synced, s.held = l.Next, true, true, l.Held
+	s.last, s.listed, s.synced, s.held = l.Last, true, true, l.Held
 	s.used = 0
 	for _, tokens := range l.Held {
 		s.used += blocks(tokens)
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -23,7 +23,7 @@
 				spaces[args[1]] = Space{Capacity: number(args[2]), First: first}
 				d.Configure(spaces)
 			case "list":
-				l := Listing{Epoch: uint64(number(args[2])), Next: uint64(number(args[3])), Held: map[Part]int{}, Partial: map[Part]int{}}
+				l := Listing{Epoch: uint64(number(args[2])), Last: uint64(number(args[3])), Held: map[Part]int{}, Partial: map[Part]int{}}
 				for _, arg := range args[4:] {
 					p, tokens := part(strings.TrimPrefix(arg, "?"))
 					if strings.HasPrefix(arg, "?") {
@@ -36,7 +36,7 @@
 			case "event":
 				n := uint64(number(args[3]))
 				p, tokens := part(args[5])
-				d.Apply(args[1], uint64(number(args[2])), n+1, false, []Event{{Number: n, Part: p, Tokens: tokens, Gone: args[4] == "-"}})
+				d.Apply(args[1], uint64(number(args[2])), n, false, []Event{{Number: n, Part: p, Tokens: tokens, Gone: args[4] == "-"}})
 			case "locate":
 				p, tokens := part(args[1])
 				store, ok := d.Locate(p, tokens)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -78,6 +78,13 @@
 // Heard notes that another instance holds the duty.
 func (c *Candidacy) Heard(now time.Time) { c.seen = now }
 
+// Released notes that the holder itself has told that it holds the duty no more.
+func (c *Candidacy) Released(now time.Time) {
+	if c.aloneSince.IsZero() {
+		c.seen = now.Add(-holderLife)
+	}
+}
+
 // Elsewhere reports whether another instance is known to hold the duty.
 func (c *Candidacy) Elsewhere(now time.Time) bool {
 	return !c.seen.IsZero() && now.Sub(c.seen) < holderLife && c.aloneSince.IsZero()
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -32,6 +32,8 @@
 				return []string{fmt.Sprint(token, " ", ok)}
 			case "heard":
 				c.Heard(at(args[1]))
+			case "released":
+				c.Released(at(args[1]))
 			case "alone":
 				c.Alone(at(args[1]))
 			case "among":
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -164,6 +164,26 @@
 	return newest
 }
 
+// NewerShare returns the share of the replicas with a model that hold newer
+// weights than a version.
+func (p *Pool) NewerShare(model string, version int) float64 {
+	newer, all := 0, 0
+	for _, r := range p.replicas {
+		held := r.Versions[model]
+		if held == 0 || r.Draining {
+			continue
+		}
+		all++
+		if held > version {
+			newer++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(newer) / float64(all)
+}
+
 // Own returns this instance's work in flight by replica.
 func (p *Pool) Own() map[string]Load {
 	out := map[string]Load{}
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -36,8 +37,11 @@
 	// freeAfter is the time from the last use of weights until what stores hold
 	// of them is freed. It is longer than any fetch.
 	freeAfter = 1800 * time.Millisecond
+	// freeAfterStop is that time if all instances have told that they do not
+	// fetch it any more, after fetches that were bounded more closely.
+	freeAfterStop = 800 * time.Millisecond
 	// cleanEvery is the pause between two looks at the stores.
-	cleanEvery = 700 * time.Millisecond
+	cleanEvery = 250 * time.Millisecond
 )
 
 // Duty is safe for concurrent use. The exported fields must be set before Run.
@@ -52,6 +56,9 @@
 	Logger    log.Logger
 	// Nudge tells peers at once what changed.
 	Nudge func()
+	// PeersFetch returns the oldest weight version of a model whose context a
+	// peer may still fetch; ok is false if that is not known of all.
+	PeersFetch func(model string) (oldest int, ok bool)
 	// Rank returns the place of this instance among the candidates for the duty.
 	Rank func(now time.Time) (rank int, most bool)
 
@@ -66,10 +73,11 @@
 	retired map[string]retired
 }
 
-// retired is the oldest weight version of a model that replicas still hold.
+// retired is the oldest weight version of a model whose context is of use, and
+// the one that follows it once it has been so for some time.
 type retired struct {
-	oldest int
-	since  time.Time
+	oldest, next int
+	since        time.Time
 }
 
 // Out returns the replicas that this instance keeps new work from.
@@ -155,6 +163,13 @@
 	}
 }
 
+// HolderReleased notes that the holder told that it holds the duty no more.
+func (d *Duty) HolderReleased(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.candidacy.Released(now)
+}
+
 // renew keeps the membership up, asks for one if nobody holds the duty, and
 // gives it up if another instance does.
 func (d *Duty) renew(ctx context.Context) {
@@ -403,30 +418,30 @@
 	}
 }
 
-// oldest returns the oldest version whose context is still of use.
+// oldest returns the oldest version whose context is still of use. An older one
+// is of none once no instance fetches it any more, or no replica can run it, and
+// the last fetch has ended.
 func (d *Duty) oldest(now time.Time, model string, engines []reload.Engine) int {
-	oldest := 0
+	held := math.MaxInt
 	for _, e := range engines {
-		if oldest == 0 || e.Version < oldest {
-			oldest = e.Version
-		}
+		held = min(held, e.Version)
 	}
-	r, ok := d.retired[model]
-	if !ok || oldest < r.oldest {
-		d.retired[model] = retired{oldest, now}
-		return oldest
+	if len(engines) == 0 {
+		held = 0
 	}
-	if oldest > r.oldest {
-		if r.since.IsZero() {
-			r.since = now
-		}
-		if now.Sub(r.since) < freeAfter {
-			d.retired[model] = retired{r.oldest, r.since}
-			return r.oldest
+	limit, wait := held, freeAfter
+	if told, ok := d.PeersFetch(model); ok {
+		if oldest := min(told, d.Upstreams.Fetched(now)[model]); oldest > held {
+			limit, wait = oldest, freeAfterStop
 		}
-		d.retired[model] = retired{oldest, time.Time{}}
-		return oldest
 	}
-	d.retired[model] = retired{oldest, time.Time{}}
-	return oldest
+	r := d.retired[model]
+	if limit != r.next {
+		r.next, r.since = limit, now
+	}
+	if now.Sub(r.since) >= wait {
+		r.oldest = limit
+	}
+	d.retired[model] = r
+	return r.oldest
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -62,6 +63,7 @@
 	Out() []string
 	Holds(now time.Time) bool
 	HolderElsewhere(now time.Time, out []string)
+	HolderReleased(now time.Time)
 }
 
 type peer struct {
@@ -71,6 +73,10 @@
 	failed int
 	next   time.Time
 	busy   bool
+	// fetches is what the peer last told of the context that it may fetch.
+	fetches []message.ModelVersion
+	// holder and reaches are what it last told of the duties and the log.
+	holder, reaches bool
 }
 
 // Attach answers the exchanges of peers.
@@ -251,12 +257,43 @@
 			g.add(now, known)
 		}
 	}
+	released := false
+	g.mu.Lock()
+	if p, ok := g.peers[m.Address]; ok {
+		p.fetches, p.reaches = m.Fetches, m.Reaches
+		released = p.holder && !m.Holder
+		p.holder = m.Holder
+	}
+	g.mu.Unlock()
+	if released {
+		g.Duty.HolderReleased(now)
+	}
 	if m.Holder {
 		g.Duty.HolderElsewhere(now, m.Out)
 	}
 	g.Upstreams.Hear(now, m)
 }
 
+// Fetched returns the oldest weight version of a model whose context any known
+// peer may still fetch; ok is false if one has not told.
+func (g *Gossip) Fetched(model string) (oldest int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	oldest = math.MaxInt
+	for _, p := range g.peers {
+		told := false
+		for _, f := range p.fetches {
+			if f.Model == model {
+				told, oldest = true, min(oldest, f.Version)
+			}
+		}
+		if !told {
+			return 0, false
+		}
+	}
+	return oldest, true
+}
+
 // Reads reports whether this instance is the first of its data centre that
 // answers, which reads the list of replicas for the others.
 func (g *Gossip) Reads(now time.Time) bool { return g.reader(now) == g.Self.Name }
@@ -276,8 +313,8 @@
 	return first
 }
 
-// Rank returns how many instances that answer come before this one by name, and
-// whether most of the known ones answer.
+// Rank returns how many instances that answer and reach the platform's log come
+// before this one by name, and whether most of the known ones answer.
 func (g *Gossip) Rank(now time.Time) (rank int, most bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -287,7 +324,7 @@
 			continue
 		}
 		answer++
-		if !p.Leaving && p.Name < g.Self.Name {
+		if !p.Leaving && p.reaches && p.Name < g.Self.Name {
 			rank++
 		}
 	}
@@ -297,7 +334,7 @@
 func (g *Gossip) state(now time.Time) message.Gossip {
 	m := message.Gossip{
 		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
-		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now),
+		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now), Reaches: g.Topics.Reaches(now),
 	}
 	g.Upstreams.Tell(&m)
 	g.mu.Lock()
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -197,6 +197,8 @@
 	Leaving    bool           `json:"leaving"`
 	// Holder is true if the sender holds the duties.
 	Holder bool `json:"holder"`
+	// Reaches is true if the sender itself reaches the platform's log.
+	Reaches bool `json:"reaches"`
 	// Views are those of the operators' records and of the list of replicas.
 	Views []ViewState `json:"views"`
 	// Loads is the work that the sender has in flight.
@@ -206,6 +208,9 @@
 	Out []string `json:"out"`
 	// Loaded lists the replicas whose weights changed lately.
 	Loaded []ReplicaVersion `json:"loaded"`
+	// Fetches has for each model the oldest weight version whose context the
+	// sender may still fetch from stores.
+	Fetches []ModelVersion `json:"fetches"`
 	// Known lists the instances that the sender knows.
 	Known []roster.Member `json:"known"`
 }
@@ -235,6 +240,13 @@
 	Version int
 }
 
+// ModelVersion is a weight version of a model.
+type ModelVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version int
+}
+
 // ViewAsk asks for all records of a topic; answered by ViewCopy.
 type ViewAsk struct {
 	Topic int `json:"topic"`
--- a/entry/outside/outside.go
+++ b/entry/outside/outside.go
@@ -182,9 +182,11 @@
 
 // Events are changes of what a store holds.
 type Events struct {
-	Epoch, Next uint64
-	Lost        bool
-	Events      []directory.Event
+	Epoch uint64
+	// Last is the number of the newest event, also if it was lost.
+	Last   uint64
+	Lost   bool
+	Events []directory.Event
 	// Clock is the replicas' clock in milliseconds; 0 if not told.
 	Clock int64
 }
@@ -193,7 +195,7 @@
 type Control interface {
 	Order(ctx context.Context, to netip.AddrPort, o Order) (OrderResult, error)
 	Report(ctx context.Context, to netip.AddrPort) (Report, error)
-	Events(ctx context.Context, store netip.AddrPort, since uint64, wait time.Duration) (Events, error)
+	Events(ctx context.Context, store netip.AddrPort, after uint64, wait time.Duration) (Events, error)
 	List(ctx context.Context, store netip.AddrPort) (directory.Listing, int64, error)
 	Free(ctx context.Context, store netip.AddrPort, epoch uint64, parts []directory.Part) error
 }
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -26,9 +26,14 @@
 	staleAfter = time.Second
 	// upstreamsEvery is the pause between reads of the list of replicas, which
 	// changes several times a second.
-	upstreamsEvery = 600 * time.Millisecond
-	// followedLimit is the age of the list from which an instance reads it itself.
-	followedLimit = 1400 * time.Millisecond
+	upstreamsEvery = 500 * time.Millisecond
+	// upstreamsCheck is the pause between two looks whether to read it.
+	upstreamsCheck = 100 * time.Millisecond
+	// followedPull and followedLimit are the ages of the list from which an
+	// instance asks its reader for it, and from which it reads it itself. A
+	// leaving replica must be known everywhere within 2 s.
+	followedPull  = 350 * time.Millisecond
+	followedLimit = 900 * time.Millisecond
 	// instancesWait is how long a read of the list of instances waits.
 	instancesWait = 20 * time.Second
 	// firstBackoff and longestBackoff bound the pause after a failed read.
@@ -66,6 +71,8 @@
 	// answered is when the list of replicas was last read, returned when it was
 	// first read after an outage.
 	answered, returned time.Time
+	// reached is when the operators' records were last read.
+	reached time.Time
 }
 
 // Intent returns the intent in force, or nil if none is known yet.
@@ -99,7 +106,7 @@
 		}
 		backoff = firstBackoff
 		if topic == outside.Upstreams {
-			pause(ctx, upstreamsEvery)
+			pause(ctx, t.upstreamsPause())
 		}
 	}
 }
@@ -142,9 +149,25 @@
 		return err
 	}
 	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Append(records, end) })
+	t.noteReach(topic)
 	return nil
 }
 
+// upstreamsPause returns the time until the list of replicas is looked at again.
+func (t *Topics) upstreamsPause() time.Duration {
+	if t.Reads(t.Now()) {
+		return upstreamsEvery
+	}
+	return upstreamsCheck
+}
+
+// Reaches reports whether this instance itself read the platform's log lately.
+func (t *Topics) Reaches(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.reached.IsZero() && now.Sub(t.reached) < operationsWait+outageAfter
+}
+
 // fresh reports whether the list of replicas came from a peer lately.
 func (t *Topics) fresh(now time.Time) bool {
 	t.mu.Lock()
@@ -152,12 +175,22 @@
 	return t.feeds[outside.Upstreams].Current(now, followedLimit)
 }
 
+func (t *Topics) noteReach(topic outside.Topic) {
+	if topic != outside.Operations {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reached = t.Now()
+}
+
 func (t *Topics) load(ctx context.Context, topic outside.Topic, sent time.Time) error {
 	records, end, err := t.Log.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
 	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Replace(records, end) })
+	t.noteReach(topic)
 	return nil
 }
 
@@ -275,7 +308,7 @@
 		}
 		stale := now.Sub(f.Proof()) > staleAfter
 		if topic == outside.Upstreams && fromReader {
-			stale = now.Sub(f.Proof()) > upstreamsEvery
+			stale = now.Sub(f.Proof()) > followedPull
 		}
 		if !f.Loaded() || stale {
 			behind = append(behind, topic)
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -83,10 +83,10 @@
 func (u *Upstreams) readStore(ctx context.Context, control outside.Control, name string, address netip.AddrPort, listed *time.Time) error {
 	now := u.Now()
 	synced := false
-	var epoch, next uint64
+	var epoch, last uint64
 	u.Directory(func(d *directory.Directory) {
 		synced = d.Synced(name)
-		epoch, next = d.Position(name)
+		epoch, last = d.Position(name)
 	})
 	age := now.Sub(*listed)
 	if listed.IsZero() || age > listEvery || !synced && age > listAfterGap {
@@ -99,7 +99,7 @@
 		u.Directory(func(d *directory.Directory) { d.Replace(name, l) })
 		return nil
 	}
-	ev, err := control.Events(ctx, address, next, eventsWait)
+	ev, err := control.Events(ctx, address, last, eventsWait)
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 		_ = u.Logger.Log("msg", "A store of context has restarted.", "store", name, "epoch", ev.Epoch)
 		*listed = time.Time{}
 	}
-	u.Directory(func(d *directory.Directory) { d.Apply(name, ev.Epoch, ev.Next, ev.Lost, ev.Events) })
+	u.Directory(func(d *directory.Directory) { d.Apply(name, ev.Epoch, ev.Last, ev.Lost, ev.Events) })
 	return nil
 }
 
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -38,6 +38,16 @@
 	fetchLimit    = 1500 * time.Millisecond
 	fetchShare    = 0.45
 	fetchPerToken = 150 * time.Microsecond
+	// oldFetchLimit bounds fetches of context of weights that were replaced, so
+	// that it can be freed soon after the last of them.
+	oldFetchLimit = 500 * time.Millisecond
+	// newerShare is the share of replicas with newer weights from which context
+	// of older ones is not fetched or saved any more: the stores have no room for
+	// both, and the newer context is wanted longer.
+	newerShare = 0.3
+	// learnTime is how long a new instance fetches context of the newest weights
+	// alone, since it may not know yet what the others stopped to fetch.
+	learnTime = 3 * time.Second
 	// loadedLife is how long a change of weights is told to peers.
 	loadedLife = 5 * time.Second
 	// outLife is how long a replica stays out of use after it was last named.
@@ -55,12 +65,16 @@
 
 	mu sync.Mutex
 	// named has the newest weight version of each model and when it was heard of.
-	named  map[string]naming
-	pool   pool.Pool
-	dir    directory.Directory
-	stores map[string]netip.AddrPort
-	links  map[string]*link
-	loaded map[message.ReplicaVersion]time.Time
+	named map[string]naming
+	// retired has the oldest weight version of each model whose context is fetched.
+	retired map[string]int
+	// started is when the first intent was heard of.
+	started time.Time
+	pool    pool.Pool
+	dir     directory.Directory
+	stores  map[string]netip.AddrPort
+	links   map[string]*link
+	loaded  map[message.ReplicaVersion]time.Time
 	// clock is the replicas' clock less this instance's.
 	clock      time.Duration
 	clockKnown bool
@@ -157,7 +171,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.named == nil {
-		u.named = map[string]naming{}
+		u.named, u.retired, u.started = map[string]naming{}, map[string]int{}, now
 	}
 	for model, version := range in.Versions {
 		if version > u.named[model].version {
@@ -283,13 +297,20 @@
 	if len(j.Pieces) == 0 || len(u.stores) == 0 {
 		return
 	}
-	longest := time.Duration(0)
+	if u.retiredVersion(now, j.Model, t.Version) {
+		return
+	}
 	t.Fetch = make([]netip.AddrPort, len(j.Pieces))
 	t.Save = make([]netip.AddrPort, len(j.Pieces))
+	old := t.Version < u.named[j.Model].version
+	longest := time.Duration(0)
 	for i, piece := range j.Pieces[:len(j.Pieces)-1] {
 		part := directory.Part{Salt: t.Salt, ID: piece.ID}
 		u.dir.Asked(piece.Tokens)
 		limit := fetchTime(j.Target, piece.Tokens)
+		if old {
+			limit = min(limit, oldFetchLimit)
+		}
 		if store, ok := u.dir.Locate(part, piece.Tokens); ok && u.dir.Worth(now, store, piece.Tokens, limit) {
 			t.Fetch[i] = u.stores[store]
 			t.sources = append(t.sources, "+"+store)
@@ -308,6 +329,38 @@
 	}
 }
 
+// retiredVersion reports whether context of a version is no longer fetched here.
+// Once it is, it stays so, since others rely on it.
+func (u *Upstreams) retiredVersion(now time.Time, model string, version int) bool {
+	if version < u.retired[model] {
+		return true
+	}
+	if version >= u.named[model].version {
+		return false
+	}
+	if now.Sub(u.started) >= learnTime && u.pool.NewerShare(model, version) < newerShare {
+		return false
+	}
+	u.retired[model] = version + 1
+	return true
+}
+
+// Fetched returns for each model the oldest weight version whose context this
+// instance may still fetch.
+func (u *Upstreams) Fetched(now time.Time) map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := map[string]int{}
+	for model, n := range u.named {
+		oldest := max(u.retired[model], 1)
+		for oldest < n.version && u.retiredVersion(now, model, oldest) {
+			oldest++
+		}
+		out[model] = oldest
+	}
+	return out
+}
+
 // fetchTime is how long the fetch of a part may take.
 func fetchTime(target time.Duration, tokens int) time.Duration {
 	if target <= 0 {
@@ -431,6 +484,9 @@
 
 // Tell fills in what peers are told.
 func (u *Upstreams) Tell(g *message.Gossip) {
+	for model, oldest := range u.Fetched(u.Now()) {
+		g.Fetches = append(g.Fetches, message.ModelVersion{Model: model, Version: oldest})
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, l := range u.pool.Own() {
