Give a slow store the share of fetches that it bears

Cause: kv_slow made one of two large stores four times slower for 5 s; at its load that is more than it bears, so its queue grew and a tenth of all prompts were late (92 of 632 at 16 s). Change: an answer counts as slow against the mean of the other stores; slow ones multiply the store's share by 0.7, others add 0.05.

--- a/core/directory/delay.go
+++ b/core/directory/delay.go
@@ -1,55 +1,105 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Weights of the stores' delays.
+// Weights of the stores' shares.
 const (
-	// usualWeight and delayWeight are the shares of a new observation in the
-	// means of all requests and of one store.
-	usualWeight = 0.02
-	delayWeight = 0.1
-	// usualCap bounds an observation in the mean of all, in multiples of it, so
-	// that a slow store does not become the usual.
-	usualCap = 3
-	// probeEvery lets one fetch in so many through to a slow store, so that its
-	// recovery is seen.
-	probeEvery = 6
-	// delayLife is the time after which a delay that is not seen again is forgotten.
-	delayLife = 3 * time.Second
-	// savingDelay is the delay from which nothing is saved to a store.
-	savingDelay = 80 * time.Millisecond
+	// meanWeight is the share of a new observation in a store's mean time to a
+	// first answer, and meanLife the time after which the mean is forgotten.
+	meanWeight = 0.15
+	meanLife   = 3 * time.Second
+	// slowTimes and slowBy are the multiple of the other stores' mean, and the
+	// time on top of it, from which an answer counts as slow. Replicas that are
+	// slow make the answers of all stores late, so that none is blamed.
+	slowTimes = 2
+	slowBy    = 80 * time.Millisecond
+	// A slow answer multiplies the share of fetches from its stores by slowFactor,
+	// another one adds quickStep, so that the load settles at what a store bears.
+	slowFactor = 0.7
+	quickStep  = 0.05
+	leastShare = 0.1
+	// savingShare is the share from which parts are saved to a store.
+	savingShare = 0.7
+	// shareLife is the time after which a share that is not used is forgotten.
+	shareLife = 3 * time.Second
 )
 
+// throttle is the share of fetches that a store gets.
+type throttle struct {
+	// cut is what is missing to all of them, so that the zero value has none cut.
+	cut    float64
+	credit float64
+	at     time.Time
+}
+
+func (t *throttle) share(now time.Time) float64 {
+	if now.Sub(t.at) > shareLife {
+		return 1
+	}
+	return 1 - t.cut
+}
+
 // Took takes the time to the first answer of a request that fetched from stores.
 func (d *Directory) Took(now time.Time, stores []string, took time.Duration) {
-	if d.usual == 0 {
-		d.usual = took
-	}
-	d.usual += time.Duration(usualWeight * float64(min(took, usualCap*d.usual)-d.usual))
 	for _, name := range stores {
-		if s, ok := d.shelves[name]; ok {
-			s.delay += time.Duration(delayWeight * float64(max(0, took-d.usual)-s.delay))
-			s.delayAt = now
+		s, ok := d.shelves[name]
+		if !ok {
+			continue
+		}
+		if others := d.othersMean(now, name); others > 0 {
+			share := s.fetches.share(now)
+			if took > slowTimes*others+slowBy {
+				share = max(leastShare, share*slowFactor)
+			} else {
+				share = min(1, share+quickStep)
+			}
+			s.fetches.cut, s.fetches.at = 1-share, now
 		}
+		s.observe(now, took)
+	}
+}
+
+func (s *shelf) observe(now time.Time, took time.Duration) {
+	if now.Sub(s.meanAt) > meanLife {
+		s.mean = took
 	}
+	s.mean += time.Duration(meanWeight * float64(took-s.mean))
+	s.meanAt = now
 }
 
-// Worth reports whether a fetch of a part is expected to end within the limit.
+// othersMean is the median of the other stores' means; 0 if there is none.
+func (d *Directory) othersMean(now time.Time, store string) time.Duration {
+	var means []time.Duration
+	for name, s := range d.shelves {
+		if name != store && now.Sub(s.meanAt) <= meanLife {
+			means = append(means, s.mean)
+		}
+	}
+	if len(means) == 0 {
+		return 0
+	}
+	slices.Sort(means)
+	return means[(len(means)-1)/2]
+}
+
+// Worth reports whether a part should be fetched from a store: it is expected
+// to arrive within the limit, and the store bears the load.
 func (d *Directory) Worth(now time.Time, store string, tokens int, limit time.Duration) bool {
 	s, ok := d.shelves[store]
-	if !ok {
+	if !ok || s.transfer(tokens) > limit {
 		return false
 	}
-	if s.slowness(now)+s.transfer(tokens) <= limit {
+	share := s.fetches.share(now)
+	if share >= 1 {
 		return true
 	}
-	s.skipped++
-	return s.skipped%probeEvery == 0
-}
-
-func (s *shelf) slowness(now time.Time) time.Duration {
-	if now.Sub(s.delayAt) > delayLife {
-		return 0
+	s.fetches.credit += share
+	if s.fetches.credit < 1 {
+		return false
 	}
-	return s.delay
+	s.fetches.credit--
+	return true
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -82,11 +82,10 @@
 	saving  map[Part]saving
 	partial int
 	used    int
-	// delay is the mean excess over the usual time to a first answer of requests
-	// that fetched from the store.
-	delay   time.Duration
-	delayAt time.Time
-	skipped int
+	fetches throttle
+	// mean is that of the time to a first answer of requests that fetched here.
+	mean   time.Duration
+	meanAt time.Time
 }
 
 type saving struct {
@@ -101,8 +100,6 @@
 type Directory struct {
 	shelves map[string]*shelf
 	sizes   sizes
-	// usual is the mean time to a first answer without the slow stores' share.
-	usual time.Duration
 }
 
 // Configure sets the stores. Others are forgotten.
@@ -253,7 +250,7 @@
 	best, top := "", 0.0
 	for name, s := range d.shelves {
 		room := s.room(now)
-		if !s.listed || room < blocks(tokens) || s.slowness(now) > savingDelay {
+		if !s.listed || room < blocks(tokens) || s.fetches.share(now) < savingShare {
 			continue
 		}
 		// Weighted rendezvous: stores of one tier fill in proportion to their
