Give up requests that take down each replica that runs them

Cause: a request that crashes replicas comes again under a new id at any instance, and nothing stopped it on the platform's path. Ruled out: isolating suspects as for the product's own engines, since a platform replica does not tell its death from a lost answer; requests without a body, which can't be told apart.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -113,9 +113,10 @@
 		Name: cfg.Name, Bounds: &e.bounds, Log: out.Log, Control: out.Control,
 		Topics: e.topics, Upstreams: e.upstreams, Now: now, Logger: part("duty"),
 	}
+	crashes := &relay.Crashes{}
 	e.gossip = &gossip.Gossip{
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
-		Now: now, Logger: part("peers"), Duty: e.duty,
+		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: crashes,
 	}
 	e.topics.OnInstances, e.topics.Reads = e.gossip.TakeInstances, e.gossip.Reads
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
@@ -123,7 +124,7 @@
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(e.metrics()),
+		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(e.metrics()), Crashes: crashes,
 	}
 	return e
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -49,6 +49,8 @@
 	// Duty is this instance's part in the duties; it names the replicas that get
 	// no new work.
 	Duty Duty
+	// Crashes is what is told and heard of requests that take down replicas.
+	Crashes Crashes
 
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
@@ -66,6 +68,12 @@
 	HolderReleased(now time.Time)
 }
 
+// Crashes is what is told and heard of requests that take down replicas.
+type Crashes interface {
+	Hear(now time.Time, counts []message.ContentDeaths)
+	Tell(now time.Time) []message.ContentDeaths
+}
+
 type peer struct {
 	roster.Member
 	heard  time.Time
@@ -271,6 +279,7 @@
 	if m.Holder {
 		g.Duty.HolderElsewhere(now, m.Out)
 	}
+	g.Crashes.Hear(now, m.Deaths)
 	g.Upstreams.Hear(now, m)
 }
 
@@ -334,7 +343,7 @@
 func (g *Gossip) state(now time.Time) message.Gossip {
 	m := message.Gossip{
 		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
-		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now), Reaches: g.Topics.Reaches(now),
+		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now), Reaches: g.Topics.Reaches(now), Deaths: g.Crashes.Tell(now),
 	}
 	g.Upstreams.Tell(&m)
 	g.mu.Lock()
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -211,6 +211,8 @@
 	// Fetches has for each model the oldest weight version whose context the
 	// sender may still fetch from stores.
 	Fetches []ModelVersion `json:"fetches"`
+	// Deaths has contents that were running when several upstreams broke off.
+	Deaths []ContentDeaths `json:"deaths"`
 	// Known lists the instances that the sender knows.
 	Known []roster.Member `json:"known"`
 }
@@ -240,6 +242,13 @@
 	Version int
 }
 
+// ContentDeaths counts the upstreams that broke off while they ran a content.
+type ContentDeaths struct {
+	_       struct{} `cbor:",toarray"`
+	Content suspect.Content
+	Deaths  int
+}
+
 // ModelVersion is a weight version of a model.
 type ModelVersion struct {
 	_       struct{} `cbor:",toarray"`
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -165,6 +165,9 @@
 		att.Revoke()
 		if c.ctx.Err() == nil {
 			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
+			if att.Run() != attempt.NotRun {
+				c.broke(now)
+			}
 			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
 		}
 		return false, att.Run(), err
@@ -319,6 +322,9 @@
 		if err == io.EOF {
 			c.note.outcome = "ok"
 			c.relay.Upstreams.With(func(p *pool.Pool) { p.Succeeded(t.ID) })
+			if id, ok := c.content(); ok {
+				c.relay.Crashes.answered(id)
+			}
 			return
 		}
 		if err != nil {
@@ -338,6 +344,7 @@
 		outcome = "timeout"
 	case byReplica:
 		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
+		c.broke(now)
 	}
 	c.note.outcome, c.abort = outcome, true
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,6 +29,8 @@
 	freshMargin = 400 * time.Millisecond
 	// defaultPatience is the time that a request has if nobody says.
 	defaultPatience = 30 * time.Second
+	// barredRetry is when to come back with a request that took down replicas.
+	barredRetry = 2 * time.Minute
 	// defaultBody bounds a body if the configuration does not, in bytes.
 	defaultBody = 4 << 20
 )
@@ -44,6 +46,7 @@
 	Now       func() time.Time
 	Logger    log.Logger
 	Metrics   *Metrics
+	Crashes   *Crashes
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -133,6 +136,9 @@
 	if ref := c.readBody(table); ref != nil {
 		return ref
 	}
+	if id, ok := c.content(); ok && rl.Crashes.barred(c.began, id) {
+		return notRun("crashes-replicas", barredRetry)
+	}
 	c.service = table.Services[c.route.Pick(xxhash.Sum64String(c.ask.ID))]
 	c.deadline = c.began.Add(defaultPatience)
 	if c.ask.Patience > 0 {
