--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -82,7 +82,9 @@
 	again := run == attempt.NotRun || c.route.Repeatable() && c.runs < c.route.MaxAttempts
 	if again && !expired && c.note.tries < maxTries {
 		// A replica that was never reached counts as no arrival.
-		if run == attempt.NotRun && !errors.Is(err, errRefused) || c.relay.Budget.Withdraw() {
+		free := c.paid || run == attempt.NotRun && !errors.Is(err, errRefused)
+		c.paid = false
+		if free || c.relay.Budget.Withdraw() {
 			return nil
 		}
 	}
@@ -221,7 +223,10 @@
 		return fmt.Errorf("the answer is encoded as %q, which nobody asked for", resp.Header.Get("Content-Encoding"))
 	case resp.StatusCode >= http.StatusInternalServerError:
 		up.With(func(p *pool.Pool) { p.Erred(now, t.ID) })
-		if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.ctx.Err() == nil {
+		// The failure is the replica's answer, so it is passed on unless another
+		// try is allowed; that try is paid for here.
+		if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.ctx.Err() == nil && c.relay.Budget.Withdraw() {
+			c.paid = true
 			return errErred
 		}
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -76,6 +76,8 @@
 	tried    map[string]bool
 	// runs is the number of replicas that may have run the request.
 	runs int
+	// paid is true if the next try was already taken off the retry budget.
+	paid bool
 	// abort closes the caller's connection, since no whole answer can be given.
 	abort bool
 	note  note
@@ -214,6 +216,8 @@
 	code   string
 	// after is when to come back; 0 means that it is of no use.
 	after time.Duration
+	// paid is true if the next try was already taken off the retry budget.
+	paid bool
 	// abort closes the connection in place of an answer.
 	abort bool
 }
