Tell an outage by the age of the proof, and read the list of replicas at once

Instances that took the list from their reader without changes for 1.5 s held the next change for the end of an outage and kept the replica for 2.2 s. Ruled out: the way of the list: all instances had it 0.6 s after it. Change: an outage is a gap in the proofs; the reader waits 0.6 s for changes in place of asking each 0.5 s; the others read themselves at 1.5 s without a proof.

--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -24,16 +24,16 @@
 	operationsWait = 1200 * time.Millisecond
 	// staleAfter is the age of a proof from which a peer's view is asked for.
 	staleAfter = time.Second
-	// upstreamsEvery is the pause between reads of the list of replicas, which
-	// changes several times a second.
-	upstreamsEvery = 500 * time.Millisecond
+	// upstreamsWait is how long a read of the list of replicas waits, and
+	// upstreamsEvery the least pause between two reads.
+	upstreamsWait  = 600 * time.Millisecond
+	upstreamsEvery = 120 * time.Millisecond
 	// upstreamsCheck is the pause between two looks whether to read it.
 	upstreamsCheck = 100 * time.Millisecond
-	// followedPull and followedLimit are the ages of the list from which an
-	// instance asks its reader for it, and from which it reads it itself. A
-	// leaving replica must be known everywhere within 2 s.
-	followedPull  = 350 * time.Millisecond
-	followedLimit = 900 * time.Millisecond
+	// followedLimit is the age of the list from which an instance reads it itself
+	// in place of the reader of its data centre. It is more than twice
+	// upstreamsWait; a leaving replica must be known everywhere within 2 s.
+	followedLimit = 1500 * time.Millisecond
 	// instancesWait is how long a read of the list of instances waits.
 	instancesWait = 20 * time.Second
 	// firstBackoff and longestBackoff bound the pause after a failed read.
@@ -48,6 +48,11 @@
 
 const topicCount = 3
 
+// waits has how long a read of each topic waits.
+var waits = map[outside.Topic]time.Duration{
+	outside.Operations: operationsWait, outside.Upstreams: upstreamsWait, outside.Instances: instancesWait,
+}
+
 // Topics is the view of all topics. The exported fields must be set before Run.
 type Topics struct {
 	Log     outside.Log
@@ -68,9 +73,8 @@
 	mu     sync.Mutex
 	feeds  [topicCount]feed.Feed
 	intent atomic.Pointer[outside.Intent]
-	// answered is when the list of replicas was last read, returned when it was
-	// first read after an outage.
-	answered, returned time.Time
+	// returned is when the list of replicas was first read after an outage.
+	returned time.Time
 	// reached is when the operators' records were last read.
 	reached time.Time
 }
@@ -140,7 +144,7 @@
 	if !loaded {
 		return t.load(ctx, topic, sent)
 	}
-	wait := map[outside.Topic]time.Duration{outside.Operations: operationsWait, outside.Instances: instancesWait}[topic]
+	wait := waits[topic]
 	records, end, err := t.Log.Read(ctx, topic, next, wait)
 	if errors.Is(err, outside.ErrForgotten) {
 		return t.load(ctx, topic, sent)
@@ -199,11 +203,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := &t.feeds[topic]
+	before := f.Proof()
 	changed := change(f)
 	f.Prove(proven, end)
 	now := t.Now()
-	if topic == outside.Upstreams {
-		t.noteAnswer(now)
+	if topic == outside.Upstreams && !before.IsZero() && proven.Sub(before) > outageAfter {
+		t.returned = now
 	}
 	if len(changed) == 0 {
 		return
@@ -218,14 +223,6 @@
 	}
 }
 
-// noteAnswer recognises the end of an outage.
-func (t *Topics) noteAnswer(now time.Time) {
-	if !t.answered.IsZero() && now.Sub(t.answered) > outageAfter {
-		t.returned = now
-	}
-	t.answered = now
-}
-
 // removeAt returns when a replica whose entry is missing is taken as gone.
 // Entries may lapse in an outage, and are written again soon after it.
 func (t *Topics) removeAt(now time.Time) time.Time {
@@ -306,10 +303,7 @@
 			f.Prove(sent.Add(-views[i].ProofAge), views[i].Next)
 			continue
 		}
-		stale := now.Sub(f.Proof()) > staleAfter
-		if topic == outside.Upstreams && fromReader {
-			stale = now.Sub(f.Proof()) > followedPull
-		}
+		stale := now.Sub(f.Proof()) > staleAfter || topic == outside.Upstreams && fromReader
 		if !f.Loaded() || stale {
 			behind = append(behind, topic)
 		}
