Take no requests later than 2.6 s after a signal to stop

Ruled out: the end of the grace itself; all streams taken earlier ended. Change: the listener and idle connections close after 2.6 s in place of half of the grace, while any connection was open.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -45,8 +45,10 @@
 	// listenRetry is the pause after an address could not be bound.
 	listenRetry = 100 * time.Millisecond
 	listenTries = 50
-	// unreadyWait is how long new connections still come after a signal to stop.
-	unreadyWait = 3 * time.Second
+	// unreadyWait is how long requests are taken after a signal to stop: the
+	// balancer needs two questions, one a second, and what is taken later may not
+	// end within the grace.
+	unreadyWait = 2600 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 600 * time.Millisecond
 	// announceEvery is how often the instance's own record is tried to be written.
@@ -278,12 +280,7 @@
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	e.duty.Leave(leave)
 	cancel()
-	for e.now().Sub(began) < unreadyWait || e.conns.Load() > 0 {
-		if e.now().Sub(began) > e.bounds.Bounds().Grace/2 {
-			break
-		}
-		time.Sleep(listenRetry)
-	}
+	time.Sleep(min(unreadyWait, e.bounds.Bounds().Grace/2))
 	// Idle connections are closed now; running requests end.
 	ctx, cancel := context.WithTimeout(context.Background(), e.bounds.Bounds().Grace-stopMargin-e.now().Sub(began))
 	defer cancel()
