Do not take the duty back after a cut; order at once what nobody ordered

A new holder also left alone for 3 s what the one before had drained but not ordered. Ruled out: the group's own dealing; each move followed a join of ours. Change: a membership that lapsed is not renewed; instances tell how long ago they knew of a holder; only ordered replicas wait.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -61,6 +61,8 @@
 type Candidacy struct {
 	// seen is when a holder was last heard of.
 	seen time.Time
+	// released is when a holder told that it holds the duty no more.
+	released time.Time
 	// aloneSince is when most other instances were last heard.
 	aloneSince time.Time
 }
@@ -75,11 +77,22 @@
 	aloneLimit = 4 * time.Second
 )
 
-// Heard notes that another instance holds the duty.
-func (c *Candidacy) Heard(now time.Time) { c.seen = now }
+// Heard notes that another instance held the duty at a moment.
+func (c *Candidacy) Heard(at time.Time) {
+	if at.After(c.seen) && at.After(c.released) {
+		c.seen = at
+	}
+}
+
+// Seen returns how long ago another instance was known to hold the duty; ok is
+// false if that is not known.
+func (c *Candidacy) Seen(now time.Time) (age time.Duration, ok bool) {
+	return now.Sub(c.seen), !c.seen.IsZero() && now.Sub(c.seen) < 2*holderLife
+}
 
 // Released notes that the holder itself has told that it holds the duty no more.
 func (c *Candidacy) Released(now time.Time) {
+	c.released = now
 	if c.aloneSince.IsZero() {
 		c.seen = now.Add(-holderLife)
 	}
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -173,6 +173,18 @@
 	return out
 }
 
+// Ordered returns the engines that were ordered and have not loaded yet.
+func (rl *Reload) Ordered() []string {
+	var out []string
+	for id, p := range rl.engines {
+		if p.version != 0 {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Refused notes that an engine did not take an order, so that it is sent again soon.
 func (rl *Reload) Refused(now time.Time, id string) {
 	if p, ok := rl.engines[id]; ok {
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -25,9 +25,9 @@
 // Times of a duty.
 const (
 	// memberLife is how long a member that sends nothing keeps its duties.
-	memberLife = 1500 * time.Millisecond
+	memberLife = 1200 * time.Millisecond
 	// renewEvery is the pause between two renewals.
-	renewEvery = 350 * time.Millisecond
+	renewEvery = 250 * time.Millisecond
 	// stepEvery is the pause between two looks at what there is to do.
 	stepEvery = 50 * time.Millisecond
 	// reportEvery is the pause between two questions whether weights are loaded.
@@ -66,8 +66,10 @@
 	lease     lease.Lease
 	candidacy lease.Candidacy
 	member    bool
-	// foreign has the replicas that another holder took out of use, and when that
-	// was last heard.
+	// joined is when the last renewal that was answered was sent.
+	joined time.Time
+	// foreign has the replicas that another holder ordered, and when that was last
+	// heard.
 	foreign map[string]time.Time
 	reloads map[string]*reload.Reload
 	retired map[string]retired
@@ -80,18 +82,19 @@
 	since        time.Time
 }
 
-// Out returns the replicas that this instance keeps new work from.
-func (d *Duty) Out() []string {
+// Out returns the replicas that this instance keeps new work from, and those of
+// them that it has ordered.
+func (d *Duty) Out() (out, ordered []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.lease.Held(d.Now()) {
-		return nil
+		return nil, nil
 	}
-	var out []string
 	for _, r := range d.reloads {
 		out = append(out, r.Out()...)
+		ordered = append(ordered, r.Ordered()...)
 	}
-	return out
+	return out, ordered
 }
 
 // Run renews the membership and does the duty while it is this instance's.
@@ -148,21 +151,29 @@
 	return d.lease.Held(now)
 }
 
-// HolderElsewhere notes that a peer holds the duty and has taken replicas out.
-func (d *Duty) HolderElsewhere(now time.Time, out []string) {
+// HolderElsewhere notes that a peer held the duty at a moment and has ordered
+// replicas.
+func (d *Duty) HolderElsewhere(at time.Time, ordered []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.candidacy.Heard(now)
-	for id, at := range d.foreign {
-		if now.Sub(at) > 2*d.Bounds.Bounds().Lease {
+	d.candidacy.Heard(at)
+	for id, seen := range d.foreign {
+		if at.Sub(seen) > 2*d.Bounds.Bounds().Lease {
 			delete(d.foreign, id)
 		}
 	}
-	for _, id := range out {
-		d.foreign[id] = now
+	for _, id := range ordered {
+		d.foreign[id] = at
 	}
 }
 
+// HolderSeen returns how long ago another instance was known to hold the duty.
+func (d *Duty) HolderSeen(now time.Time) (age time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.candidacy.Seen(now)
+}
+
 // HolderReleased notes that the holder told that it holds the duty no more.
 func (d *Duty) HolderReleased(now time.Time) {
 	d.mu.Lock()
@@ -182,6 +193,11 @@
 		d.candidacy.Alone(now)
 	}
 	held, elsewhere := d.lease.Held(now), d.candidacy.Elsewhere(now)
+	if now.Sub(d.joined) > memberLife {
+		// The membership has lapsed: joining again would move the duty from the
+		// instance that has taken it over.
+		d.member = false
+	}
 	member := d.member
 	apply := d.candidacy.Apply(now, rank)
 	d.mu.Unlock()
@@ -206,7 +222,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.member = true
+	d.member, d.joined = true, sent
 	d.lease.Renew(sent, ttl, g)
 	if now := d.lease.Held(d.Now()); now != held {
 		_ = d.Logger.Log("msg", "The holder of the duty changed.", "held", now, "generation", g.Generation)
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -28,7 +28,7 @@
 	// callLimit bounds one exchange.
 	callLimit = 500 * time.Millisecond
 	// slowest is the pause between tries at a peer that does not answer.
-	slowest = 2 * time.Second
+	slowest = time.Second
 	// peerLife is how long a silent peer counts as one that answers.
 	peerLife = 1200 * time.Millisecond
 	// knownEvery is the pause between two messages that list the known instances.
@@ -62,9 +62,13 @@
 
 // Duty is what is told and heard of the duties.
 type Duty interface {
-	Out() []string
+	// Out returns the replicas that get no new work, and those of them that were ordered.
+	Out() (out, ordered []string)
 	Holds(now time.Time) bool
-	HolderElsewhere(now time.Time, out []string)
+	// HolderSeen returns how long ago another holder was known.
+	HolderSeen(now time.Time) (age time.Duration, ok bool)
+	// HolderElsewhere notes a holder at a moment, with what it has ordered.
+	HolderElsewhere(at time.Time, ordered []string)
 	HolderReleased(now time.Time)
 }
 
@@ -276,8 +280,11 @@
 	if released {
 		g.Duty.HolderReleased(now)
 	}
-	if m.Holder {
-		g.Duty.HolderElsewhere(now, m.Out)
+	switch {
+	case m.Holder:
+		g.Duty.HolderElsewhere(now, m.Ordered)
+	case m.HolderAge >= 0:
+		g.Duty.HolderElsewhere(now.Add(-m.HolderAge), nil)
 	}
 	g.Crashes.Hear(now, m.Deaths)
 	g.Upstreams.Hear(now, m)
@@ -341,9 +348,14 @@
 }
 
 func (g *Gossip) state(now time.Time) message.Gossip {
+	out, ordered := g.Duty.Out()
 	m := message.Gossip{
 		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
-		Views: g.Topics.Views(now), Out: g.Duty.Out(), Holder: g.Duty.Holds(now), Reaches: g.Topics.Reaches(now), Deaths: g.Crashes.Tell(now),
+		Views: g.Topics.Views(now), Out: out, Ordered: ordered,
+		Holder: g.Duty.Holds(now), HolderAge: -1, Reaches: g.Topics.Reaches(now), Deaths: g.Crashes.Tell(now),
+	}
+	if age, ok := g.Duty.HolderSeen(now); ok && !m.Holder {
+		m.HolderAge = age
 	}
 	g.Upstreams.Tell(&m)
 	g.mu.Lock()
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -195,8 +195,10 @@
 	DataCentre string         `json:"data-centre"`
 	Address    netip.AddrPort `json:"address"`
 	Leaving    bool           `json:"leaving"`
-	// Holder is true if the sender holds the duties.
-	Holder bool `json:"holder"`
+	// Holder is true if the sender holds the duties; else HolderAge is how long
+	// ago it knew of a holder, negative if it does not know of one.
+	Holder    bool          `json:"holder"`
+	HolderAge time.Duration `json:"holder-age"`
 	// Reaches is true if the sender itself reaches the platform's log.
 	Reaches bool `json:"reaches"`
 	// Views are those of the operators' records and of the list of replicas.
@@ -206,6 +208,8 @@
 	// Out lists the replicas that get no new work because their weights are
 	// about to change; only the holder of the duty names some.
 	Out []string `json:"out"`
+	// Ordered lists those of them that were ordered to load.
+	Ordered []string `json:"ordered"`
 	// Loaded lists the replicas whose weights changed lately.
 	Loaded []ReplicaVersion `json:"loaded"`
 	// Fetches has for each model the oldest weight version whose context the
