Log who asks for the duty, and why it may

Cause: a trace of the duty's moves did not show who asked. Change: one line with the rank and what is heard.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -205,6 +205,9 @@
 	case member && !held && elsewhere:
 		d.Leave(ctx)
 	case member || apply:
+		if !member {
+			_ = d.Logger.Log("msg", "Asked for the duty.", "rank", rank, "hears-most", most, "held-before", held)
+		}
 		d.join(ctx)
 	}
 }
