--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -216,8 +216,6 @@
 	code   string
 	// after is when to come back; 0 means that it is of no use.
 	after time.Duration
-	// paid is true if the next try was already taken off the retry budget.
-	paid bool
 	// abort closes the connection in place of an answer.
 	abort bool
 }
