--- /dev/null
+++ b/measure/probe/platformpath.go
@@ -0,0 +1,73 @@
+package probe
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"crocusfold.dev/core/directory"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/roster"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/measure/slope"
+)
+
+// gossipBytes is the size of one exchange's message by the replicas at which
+// the sender has work in flight.
+func gossipBytes() slope.Slope {
+	return slope.Measure("gossip message", "replica", "B", []float64{0, 8, 32}, func(n int) float64 {
+		g := message.Gossip{
+			Name: "edge-cuenca-norte-1", DataCentre: "cuenca-norte", Address: netip.MustParseAddrPort("10.1.0.40:8000"),
+			Views: []message.ViewState{{Next: 7, ProofAge: time.Second}, {Next: 15, ProofAge: time.Second}},
+		}
+		for i := range n {
+			g.Loads = append(g.Loads, message.ReplicaLoad{Replica: fmt.Sprintf("i-%010d", i), Running: 6, Tokens: 40_000, Reading: 2_000})
+		}
+		return size(g)
+	})
+}
+
+// knownBytes is what the list of known instances adds to it once a second.
+func knownBytes() slope.Slope {
+	return slope.Measure("known instances", "instance", "B", []float64{0, 8, 64}, func(n int) float64 {
+		g := message.Gossip{}
+		for i := range n {
+			g.Known = append(g.Known, roster.Member{
+				Name: fmt.Sprintf("edge-cuenca-norte-%03d", i), DataCentre: "cuenca-norte", Address: netip.MustParseAddrPort("10.1.0.40:8000"),
+			})
+		}
+		return size(g)
+	})
+}
+
+// chooseTime is the time to choose a replica.
+func chooseTime() slope.Slope {
+	return slope.Measure("choice", "replica", "us", []float64{12, 60, 240}, func(n int) float64 {
+		now := time.Unix(0, 0)
+		p := &pool.Pool{Members: 8, DataCentre: "dc-0"}
+		for i := range n {
+			p.Set(pool.Replica{
+				ID: fmt.Sprintf("i-%010d", i), Service: "s", DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: 64,
+				Versions: map[string]int{"m": 1},
+			})
+		}
+		req := pool.Request{Service: "s", Model: "m", Memory: 92_125, Tokens: 12_000, Reading: 3_000, Home: "part"}
+		return micros(2000, func(int) { p.Choose(now, req) })
+	})
+}
+
+// directoryMemory is what a part of a store takes in the directory.
+func directoryMemory() slope.Slope {
+	return slope.Measure("directory memory", "part", "B", []float64{2000, 8000, 32000}, func(n int) float64 {
+		return heap(func() any {
+			d := &directory.Directory{}
+			d.Configure(map[string]directory.Space{"store": {Capacity: 1 << 30}})
+			salt := directory.Salt("model", 1, "")
+			for i := range n {
+				part := directory.Part{Salt: salt, ID: fmt.Sprintf("%012x", i)}
+				d.Apply("store", 1, uint64(i), false, []directory.Event{{Number: uint64(i), Part: part, Tokens: 800}})
+			}
+			return d
+		})
+	})
+}
--- a/measure/probe/probe.go
+++ b/measure/probe/probe.go
@@ -57,6 +57,10 @@
 	{"block-time", blockTime},
 	{"call-time", callTime},
 	{"call-wire-bytes", callWireBytes},
+	{"gossip-bytes", gossipBytes},
+	{"known-bytes", knownBytes},
+	{"choose-time", chooseTime},
+	{"directory-memory", directoryMemory},
 }
 
 // heap returns the live bytes that build adds.
