Tell from logs why a request failed: crocusctl why

Cause: on-call engineers have only logs, and joining them by hand is slow. Ruled out: asking the instances, which may be gone.

--- a/operator/verb/verb.go
+++ b/operator/verb/verb.go
@@ -36,6 +36,7 @@
 	{"return", "Bring a data centre or upstream back", returnUsage, func(t *tool) flags.Commander { return &drain{tool: t} }},
 	{"status", "Show what is in force where", statusUsage, func(t *tool) flags.Commander { return &status{tool: t} }},
 	{"audit", "Show who changed what", auditUsage, func(t *tool) flags.Commander { return &audit{tool: t} }},
+	{"why", "Show from logs what became of a request, and why", whyUsage, func(t *tool) flags.Commander { return &why{tool: t} }},
 	{"explain", "Show how a request was decided", explainUsage, func(t *tool) flags.Commander { return &explaining{tool: t} }},
 }
 
--- /dev/null
+++ b/operator/verb/why.go
@@ -0,0 +1,166 @@
+package verb
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+const whyUsage = `Shows what the logs of instances say of a request: its lines in the order of
+time, what its instance lost or changed shortly before, and the likely cause.
+
+  crocusctl why REQUEST-ID edge-1.log edge-2.log`
+
+// relatedBefore is how long before a request's end other lines of its instance
+// may have to do with it.
+const relatedBefore = 15 * time.Second
+
+type why struct {
+	tool *tool
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST-ID" description:"the request's id"`
+		Files   []string `positional-arg-name:"FILE" required:"1" description:"log files of instances"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// causes is the look-up table of the outcomes that crocus-edge logs.
+var causes = map[string]struct {
+	sentence string
+	// related has the messages of other lines that tell more.
+	related []string
+}{
+	"ok":                       {"It was served whole. If it was late, compare its first byte with others of its replica and of the stores in its context.", nil},
+	"no-configuration":         {"The instance had just started and knew no configuration yet.", []string{"The instance serves.", "Lost the platform's log."}},
+	"configuration-not-proven": {"The instance could not tell whether its configuration was current, so a key might have been revoked.", []string{"Lost the platform's log.", "The platform's log answers again."}},
+	"route-unknown":            {"No route of the configuration in force has its host and path.", []string{"An intent is in force."}},
+	"key-unknown":              {"No account of the configuration in force holds its key.", []string{"An intent is in force."}},
+	"no-replica":               {"No replica of its service was listed, or its data centres were closed.", []string{"A replica left the list.", "An intent is in force."}},
+	"reloading":                {"All replicas that could take it were changing their weights.", []string{"A replica gets no new work before its weights change.", "A replica holds new weights."}},
+	"cold":                     {"All replicas that could take it were cold and had their share of requests.", []string{"A replica changed."}},
+	"failing":                  {"All replicas that could take it had just failed.", []string{"A try failed."}},
+	"full":                     {"All replicas that could take it were full for as long as it could wait.", []string{"A replica left the list."}},
+	"no-replica-took-it":       {"The replicas that it was offered to refused it or could not be reached.", nil},
+	"not-started-in-time":      {"Its time was over before a replica took it.", nil},
+	"crashes-replicas":         {"Three replicas in a row broke off while they ran the same content.", nil},
+	"answer-lost":              {"It was sent to a replica and no whole answer came; it may have run.", nil},
+	"timeout":                  {"The caller's or the route's time was over while a replica had it; it may have run.", nil},
+	"answer-broke-off":         {"The replica broke off in the middle of its answer.", nil},
+	"caller-left":              {"The caller closed its connection.", nil},
+}
+
+// record is one line of a log.
+type record struct {
+	at       time.Time
+	instance string
+	msg      string
+	id       string
+	outcome  string
+	text     string
+}
+
+// Execute prints the request's lines and the likely cause.
+func (w *why) Execute([]string) error {
+	var own []record
+	others := map[string][]record{}
+	for _, file := range w.Args.Files {
+		all, err := readLog(file)
+		if err != nil {
+			return usageError{err}
+		}
+		for _, rec := range all {
+			if rec.id == w.Args.Request {
+				own = append(own, rec)
+			} else if rec.msg != "" {
+				others[rec.instance] = append(others[rec.instance], rec)
+			}
+		}
+	}
+	if len(own) == 0 {
+		return fmt.Errorf("no line of these files has the id %s", w.Args.Request)
+	}
+	sort.SliceStable(own, func(i, j int) bool { return own[i].at.Before(own[j].at) })
+	for _, rec := range own {
+		w.tool.printf("%s\n", rec.text)
+	}
+	last := own[len(own)-1]
+	cause, ok := causes[last.outcome]
+	if !ok {
+		return errors.New("its last line has no outcome that is known; the request may still run")
+	}
+	for _, rec := range related(others[last.instance], last, cause.related) {
+		w.tool.printf("  before: %s\n", rec.text)
+	}
+	w.tool.printf("likely cause: %s\n", cause.sentence)
+	return nil
+}
+
+// related returns the last line of each message shortly before a request's end.
+func related(all []record, end record, messages []string) []record {
+	var out []record
+	for _, msg := range messages {
+		var last *record
+		for i := range all {
+			if all[i].msg == msg && !all[i].at.After(end.at) && end.at.Sub(all[i].at) < relatedBefore {
+				last = &all[i]
+			}
+		}
+		if last != nil {
+			out = append(out, *last)
+		}
+	}
+	return out
+}
+
+// readLog reads the lines of a file that are in the format of the instances.
+func readLog(file string) ([]record, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("opening a log: %w", err)
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(f)
+	if err != nil {
+		return nil, fmt.Errorf("reading a log: %w", err)
+	}
+	var out []record
+	for _, line := range strings.Split(string(raw), "\n") {
+		if rec, ok := parseLine(line); ok {
+			out = append(out, rec)
+		}
+	}
+	return out, nil
+}
+
+func parseLine(line string) (record, bool) {
+	rec := record{text: line}
+	d := logfmt.NewDecoder(strings.NewReader(line))
+	if !d.ScanRecord() {
+		return rec, false
+	}
+	for d.ScanKeyval() {
+		value := string(d.Value())
+		switch string(d.Key()) {
+		case "ts":
+			at, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return rec, false
+			}
+			rec.at = at
+		case "instance":
+			rec.instance = value
+		case "msg":
+			rec.msg = value
+		case "id":
+			rec.id = value
+		case "outcome":
+			rec.outcome = value
+		}
+	}
+	return rec, !rec.at.IsZero() && d.Err() == nil
+}
