Save each part once, and free what broke off

A part that a slow store held was saved to another one too, instances chose stores by the room that each of them knew, and parts whose writing broke off kept their space. Ruled out: demand alone; 4.17 M tokens of distinct parts were asked for, and the stores hold 4.0 M. Change: directory.Plan decides; a held part is not saved again; stores are chosen by capacity; the holder frees parts without progress for 3.5 s.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,9 @@
 // that has not been reported by then is taken as lost.
 const savingLimit = 3 * time.Second
 
+// brokenAfter is how long the writing of a part may stand still.
+const brokenAfter = 3500 * time.Millisecond
+
 // fullShare is the part of a store's space up to which parts are saved.
 const fullShare = 0.985
 
@@ -56,9 +60,13 @@
 	// Last is the number of the newest event that the listing includes.
 	Last uint64
 	Held map[Part]int
-	// Partial holds the parts that are being written or whose writing broke
-	// off, with the space reserved for them.
-	Partial map[Part]int
+	// Partial holds the parts that are being written or whose writing broke off.
+	Partial map[Part]Partial
+}
+
+// Partial is the state of a part that is not whole, in tokens.
+type Partial struct {
+	Complete, Reserved int
 }
 
 // Space describes a store.
@@ -77,10 +85,11 @@
 	// listed is true once the contents were read in this epoch.
 	listed bool
 	// synced is false until a listing was read after a gap in the events.
-	synced  bool
-	held    map[Part]int
-	saving  map[Part]saving
-	partial int
+	synced bool
+	held   map[Part]int
+	saving map[Part]saving
+	// partial has the parts that are not whole, and since when without progress.
+	partial map[Part]stalled
 	used    int
 	fetches throttle
 	// mean is that of the time to a first answer of requests that fetched here.
@@ -95,6 +104,11 @@
 	reader string
 }
 
+type stalled struct {
+	Partial
+	since time.Time
+}
+
 // Directory is the contents of all stores. The zero value knows none. It is not
 // safe for concurrent use.
 type Directory struct {
@@ -158,8 +172,8 @@
 	s.last = max(s.last, last)
 }
 
-// Replace takes the whole contents of a store.
-func (d *Directory) Replace(store string, l Listing) {
+// Replace takes the whole contents of a store as of now.
+func (d *Directory) Replace(now time.Time, store string, l Listing) {
 	s, ok := d.shelves[store]
 	if !ok || l.Epoch == s.epoch && l.Last < s.last {
 		return
@@ -172,12 +186,15 @@
 	for _, tokens := range l.Held {
 		s.used += blocks(tokens)
 	}
-	s.partial = 0
-	for part, tokens := range l.Partial {
-		if _, ok := s.saving[part]; !ok {
-			s.partial += blocks(tokens)
+	partial := map[Part]stalled{}
+	for part, p := range l.Partial {
+		old, ok := s.partial[part]
+		if !ok || old.Complete != p.Complete {
+			old.since = now
 		}
+		partial[part] = stalled{p, old.since}
 	}
+	s.partial = partial
 	for part := range s.saving {
 		if _, ok := l.Held[part]; ok {
 			delete(s.saving, part)
@@ -185,6 +202,26 @@
 	}
 }
 
+// Broken returns the parts of a store whose writing broke off. They keep their
+// space until they are freed.
+func (d *Directory) Broken(now time.Time, store string) []Part {
+	var out []Part
+	if s, ok := d.shelves[store]; ok {
+		for part, p := range s.partial {
+			if now.Sub(p.since) >= brokenAfter {
+				out = append(out, part)
+			}
+		}
+	}
+	return out
+}
+
+// Unfinished reports whether a store has parts that are not whole.
+func (d *Directory) Unfinished(store string) bool {
+	s, ok := d.shelves[store]
+	return ok && len(s.partial) > 0
+}
+
 // Forget drops what is known of a store that can't be reached.
 func (d *Directory) Forget(store string) {
 	if s, ok := d.shelves[store]; ok {
@@ -213,6 +250,7 @@
 	if s, ok := d.shelves[store]; ok {
 		for _, p := range parts {
 			s.apply(Event{Part: p, Gone: true})
+			delete(s.partial, p)
 		}
 	}
 }
@@ -247,20 +285,19 @@
 	if _, ok := d.Reader(now, p); ok {
 		return "", false
 	}
-	best, top := "", 0.0
+	best, top, tier := "", 0.0, false
 	for name, s := range d.shelves {
 		room := s.room(now)
 		if !s.listed || room < blocks(tokens) || s.fetches.share(now) < savingShare {
 			continue
 		}
-		// Weighted rendezvous: stores of one tier fill in proportion to their
-		// free space. A store of the part's own tier goes before all others.
-		v := float64(score(p, name)>>11) / (1 << 53) * float64(room)
-		if d.inTier(name, tokens) {
-			v += ownTier
-		}
-		if best == "" || v > top {
-			best, top = name, v
+		// Weighted rendezvous by capacity: instances that save the same part at
+		// the same time choose the same store, and stores of one tier fill alike.
+		// A store of the part's own tier goes before all others.
+		v := float64(s.Capacity) / -math.Log((float64(score(p, name)>>11)+0.5)/(1<<53))
+		own := d.inTier(name, tokens)
+		if best == "" || own && !tier || own == tier && v > top {
+			best, top, tier = name, v, own
 		}
 	}
 	if best == "" {
@@ -271,7 +308,7 @@
 }
 
 func (s *shelf) room(now time.Time) int {
-	taken := s.used + s.partial
+	taken := s.used + s.unfinished()
 	for p, sv := range s.saving {
 		if !now.Before(sv.until) {
 			delete(s.saving, p)
@@ -282,6 +319,18 @@
 	return int(float64(s.Capacity)*fullShare) - taken
 }
 
+// unfinished is the space of parts that are not whole, without those whose save
+// is counted already.
+func (s *shelf) unfinished() int {
+	sum := 0
+	for part, p := range s.partial {
+		if _, ok := s.saving[part]; !ok {
+			sum += blocks(p.Reserved)
+		}
+	}
+	return sum
+}
+
 // Stale returns the parts of a store whose salt is not wanted any more.
 func (d *Directory) Stale(store string, wanted func(salt string) bool) []Part {
 	var out []Part
@@ -298,7 +347,7 @@
 // Usage returns the tokens held and the space of a store.
 func (d *Directory) Usage(store string) (used, capacity int) {
 	if s, ok := d.shelves[store]; ok {
-		return s.used + s.partial, s.Capacity
+		return s.used + s.unfinished(), s.Capacity
 	}
 	return 0, 0
 }
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -16,23 +16,32 @@
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
 		d := &Directory{}
 		spaces := map[string]Space{}
+		now := at("0")
 		return func(args []string) []string {
 			switch args[0] {
+			case "now":
+				now = at(args[1])
+			case "broken":
+				var out []string
+				for _, p := range d.Broken(now, args[1]) {
+					out = append(out, p.ID)
+				}
+				return out
 			case "store":
 				first, _ := time.ParseDuration(args[3])
 				spaces[args[1]] = Space{Capacity: number(args[2]), First: first}
 				d.Configure(spaces)
 			case "list":
-				l := Listing{Epoch: uint64(number(args[2])), Last: uint64(number(args[3])), Held: map[Part]int{}, Partial: map[Part]int{}}
+				l := Listing{Epoch: uint64(number(args[2])), Last: uint64(number(args[3])), Held: map[Part]int{}, Partial: map[Part]Partial{}}
 				for _, arg := range args[4:] {
 					p, tokens := part(strings.TrimPrefix(arg, "?"))
 					if strings.HasPrefix(arg, "?") {
-						l.Partial[p] = tokens
+						l.Partial[p] = Partial{Reserved: tokens}
 					} else {
 						l.Held[p] = tokens
 					}
 				}
-				d.Replace(args[1], l)
+				d.Replace(now, args[1], l)
 			case "event":
 				n := uint64(number(args[3]))
 				p, tokens := part(args[5])
@@ -64,6 +73,12 @@
 			case "worth":
 				limit, _ := time.ParseDuration(args[4])
 				return []string{fmt.Sprint(d.Worth(at(args[1]), args[2], number(args[3]), limit))}
+			case "plan":
+				p, tokens := part(args[2])
+				limit, _ := time.ParseDuration(args[3])
+				source, store := d.Plan(at(args[1]), p, tokens, limit, "r1")
+				name := map[Source]string{Read: "read", Fetch: "fetch", Save: "save"}[source]
+				return []string{strings.TrimSpace(name + " " + store)}
 			case "stale":
 				var out []string
 				for _, p := range d.Stale(args[1], func(string) bool { return false }) {
--- a/core/directory/tier.go
+++ b/core/directory/tier.go
@@ -11,9 +11,6 @@
 	sampled = 256
 	// resample is the number of parts after which the tiers are drawn anew.
 	resample = 32
-	// ownTier puts the stores of a part's tier before all others; it is more
-	// than the space of any store in tokens.
-	ownTier = 1e12
 	// probe is the size of the parts by whose transfer time stores are ranked.
 	probe = 1024
 )
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -403,7 +403,8 @@
 	d.Nudge()
 }
 
-// clean frees what stores hold of weights that no replica has any more.
+// clean frees what stores hold of weights that no replica has any more, and
+// parts whose writing broke off.
 func (d *Duty) clean(ctx context.Context) {
 	in := d.Topics.Intent()
 	now := d.Now()
@@ -427,13 +428,14 @@
 				model, version, ok := directory.ParseSalt(salt)
 				return ok && version >= wanted[model]
 			})
+			parts = append(parts, dir.Broken(now, name)...)
 			dir.Free(name, parts)
 		})
 		if len(parts) == 0 {
 			continue
 		}
 		err := d.Control.Free(ctx, address, epoch, parts)
-		_ = d.Logger.Log("msg", "Freed context of old weights.", "store", name, "parts", len(parts), "err", err)
+		_ = d.Logger.Log("msg", "Freed context of old weights and broken parts.", "store", name, "parts", len(parts), "err", err)
 	}
 }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -121,6 +121,7 @@
 		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: crashes,
 	}
 	e.topics.OnInstances, e.topics.Reads = e.gossip.TakeInstances, e.gossip.Reads
+	e.upstreams.Cleans = e.duty.Holds
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
 	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -85,7 +85,7 @@
 	synced := false
 	var epoch, last uint64
 	u.Directory(func(d *directory.Directory) {
-		synced = d.Synced(name)
+		synced = d.Synced(name) && !(u.Cleans(now) && d.Unfinished(name))
 		epoch, last = d.Position(name)
 	})
 	age := now.Sub(*listed)
@@ -96,7 +96,7 @@
 		}
 		*listed = now
 		u.SetClock(now, clock)
-		u.Directory(func(d *directory.Directory) { d.Replace(name, l) })
+		u.Directory(func(d *directory.Directory) { d.Replace(now, name, l) })
 		return nil
 	}
 	ev, err := control.Events(ctx, address, last, eventsWait)
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -62,6 +62,9 @@
 	Logger     log.Logger
 	DataCentre string
 	Bounds     *setup.Live
+	// Cleans reports whether this instance frees what stores hold in vain; it
+	// lists them more often while they have parts that are not whole.
+	Cleans func(now time.Time) bool
 
 	mu sync.Mutex
 	// named has the newest weight version of each model and when it was heard of.
@@ -311,16 +314,18 @@
 		if old {
 			limit = min(limit, oldFetchLimit)
 		}
-		if store, ok := u.dir.Locate(part, piece.Tokens); ok && u.dir.Worth(now, store, piece.Tokens, limit) {
+		source, store := u.dir.Plan(now, part, piece.Tokens, limit, t.ID)
+		switch source {
+		case directory.Fetch:
 			t.Fetch[i] = u.stores[store]
 			t.sources = append(t.sources, "+"+store)
 			t.fetched = append(t.fetched, store)
 			longest = max(longest, limit)
 			t.Reading -= piece.Tokens
-		} else if store, ok := u.dir.Reserve(now, part, piece.Tokens, t.ID); ok {
+		case directory.Save:
 			t.Save[i] = u.stores[store]
 			t.sources = append(t.sources, ">"+store)
-		} else {
+		default:
 			t.sources = append(t.sources, "-")
 		}
 	}
