Free a part only when two lists show that its writing stands still

A part that one list showed as unfinished was taken for broken 3.5 s later, whatever had been heard of it. Change: an event of a part ends its state as unfinished, and broken is said only by a later list.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -104,9 +104,11 @@
 	reader string
 }
 
+// stalled is a part that is not whole: since when it is so without progress,
+// and the list that showed it last.
 type stalled struct {
 	Partial
-	since time.Time
+	since, listed time.Time
 }
 
 // Directory is the contents of all stores. The zero value knows none. It is not
@@ -192,7 +194,7 @@
 		if !ok || old.Complete != p.Complete {
 			old.since = now
 		}
-		partial[part] = stalled{p, old.since}
+		partial[part] = stalled{p, old.since, now}
 	}
 	s.partial = partial
 	for part := range s.saving {
@@ -202,13 +204,13 @@
 	}
 }
 
-// Broken returns the parts of a store whose writing broke off. They keep their
-// space until they are freed.
-func (d *Directory) Broken(now time.Time, store string) []Part {
+// Broken returns the parts of a store whose writing broke off, as two lists some
+// time apart showed. They keep their space until they are freed.
+func (d *Directory) Broken(store string) []Part {
 	var out []Part
 	if s, ok := d.shelves[store]; ok {
 		for part, p := range s.partial {
-			if now.Sub(p.since) >= brokenAfter {
+			if p.listed.Sub(p.since) >= brokenAfter {
 				out = append(out, part)
 			}
 		}
@@ -235,6 +237,7 @@
 
 func (s *shelf) apply(ev Event) {
 	delete(s.saving, ev.Part)
+	delete(s.partial, ev.Part)
 	if old, ok := s.held[ev.Part]; ok {
 		s.used -= blocks(old)
 		delete(s.held, ev.Part)
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -23,7 +23,7 @@
 				now = at(args[1])
 			case "broken":
 				var out []string
-				for _, p := range d.Broken(now, args[1]) {
+				for _, p := range d.Broken(args[1]) {
 					out = append(out, p.ID)
 				}
 				return out
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -428,7 +428,7 @@
 				model, version, ok := directory.ParseSalt(salt)
 				return ok && version >= wanted[model]
 			})
-			parts = append(parts, dir.Broken(now, name)...)
+			parts = append(parts, dir.Broken(name)...)
 			dir.Free(name, parts)
 		})
 		if len(parts) == 0 {
