--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -29,6 +29,7 @@
 	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/entry/upstreams"
+	"crocusfold.dev/shell/clock"
 	"crocusfold.dev/shell/network"
 	"crocusfold.dev/shell/peer"
 )
@@ -241,12 +242,7 @@
 		return
 	}
 	for ctx.Err() == nil && e.out.Log.Put(ctx, e.cfg.Name, raw) != nil {
-		timer := time.NewTimer(announceEvery)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		clock.Pause(ctx, announceEvery)
 	}
 }
 
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -14,6 +14,7 @@
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/shell/clock"
 )
 
 // Times of following a topic.
@@ -104,13 +105,13 @@
 			t.logDependency(topic, err)
 		}
 		if err != nil {
-			pause(ctx, backoff)
+			clock.Pause(ctx, backoff)
 			backoff = min(2*backoff, longestBackoff)
 			continue
 		}
 		backoff = firstBackoff
 		if topic == outside.Upstreams {
-			pause(ctx, t.upstreamsPause())
+			clock.Pause(ctx, t.upstreamsPause())
 		}
 	}
 }
@@ -123,15 +124,6 @@
 	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // step reads a topic once.
 func (t *Topics) step(ctx context.Context, topic outside.Topic) error {
 	t.mu.Lock()
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -7,6 +7,7 @@
 
 	"crocusfold.dev/core/directory"
 	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/shell/clock"
 )
 
 // Times of following the stores.
@@ -76,7 +77,7 @@
 			listed = time.Time{}
 			rest = storeBackoff
 		}
-		sleep(ctx, rest)
+		clock.Pause(ctx, rest)
 	}
 }
 
@@ -90,12 +91,12 @@
 	})
 	age := now.Sub(*listed)
 	if listed.IsZero() || age > listEvery || !synced && age > listAfterGap {
-		l, clock, err := control.List(ctx, address)
+		l, clockMillis, err := control.List(ctx, address)
 		if err != nil {
 			return err
 		}
 		*listed = now
-		u.SetClock(now, clock)
+		u.SetClock(u.Now(), clockMillis)
 		u.Directory(func(d *directory.Directory) { d.Replace(now, name, l) })
 		return nil
 	}
@@ -103,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	u.SetClock(now, ev.Clock)
+	u.SetClock(u.Now(), ev.Clock)
 	if ev.Epoch != epoch {
 		_ = u.Logger.Log("msg", "A store of context has restarted.", "store", name, "epoch", ev.Epoch)
 		*listed = time.Time{}
@@ -111,15 +112,3 @@
 	u.Directory(func(d *directory.Directory) { d.Apply(name, ev.Epoch, ev.Last, ev.Lost, ev.Events) })
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
