Give up callers that stall in the middle of a body

Cause: found while reading: a body had no time limit, so a stalled caller held its place and its memory for ever. Ruled out: the server's ReadTimeout, which would end long streams; lifting the deadline after a failure too, since net/http then waits for the rest of the body (the case showed the connection open after 11 s). Change: a body has 10 s. Figures: the case failed with the deadline lifted, and passes now.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -31,6 +31,8 @@
 	defaultPatience = 30 * time.Second
 	// barredRetry is when to come back with a request that took down replicas.
 	barredRetry = 2 * time.Minute
+	// bodyLimit is how long the body of a request may take.
+	bodyLimit = 10 * time.Second
 	// defaultBody bounds a body if the configuration does not, in bytes.
 	defaultBody = 4 << 20
 )
@@ -187,11 +189,17 @@
 		c.w.Header().Set("Connection", "close")
 		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
 	}
+	// A caller that stalls in the middle of its body must not hold its place for
+	// ever. The deadline is lifted after the body, since it would end the request
+	// too; after a failure it keeps net/http from reading the rest.
+	conn := http.NewResponseController(c.w)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyLimit))
 	body, err := readAll(io.LimitReader(c.r.Body, int64(limit)+1), c.r.ContentLength)
 	if err != nil {
 		// The caller broke off; nothing can be answered.
 		return &refusal{code: "body-broken", abort: true}
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	if len(body) > limit {
 		c.w.Header().Set("Connection", "close")
 		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
