--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -69,7 +69,7 @@
 	// waitingDelay is what each request that waits at a replica adds.
 	waitingDelay = 15 * time.Millisecond
 	// oldVersionDelay is added for replicas with older weights.
-	oldVersionDelay = 150 * time.Millisecond
+	oldVersionDelay = 40 * time.Millisecond
 	// tightDelay is added at full memory; it grows from tightFrom on.
 	tightDelay = 400 * time.Millisecond
 	tightFrom  = 0.6
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -41,7 +41,7 @@
 	// newerShare is the share of replicas with newer weights from which context
 	// of older ones is not fetched or saved any more: the stores have no room for
 	// both, and the newer context is wanted longer.
-	newerShare = 0.3
+	newerShare = 0.6
 	// learnTime is how long a new instance fetches context of the newest weights
 	// alone, since it may not know yet what the others stopped to fetch.
 	learnTime = 3 * time.Second
