Order half of the replicas at once, 0.15 s after they are drained

Cause: draining for 0.4 s and a third at a time kept capacity away for 2.7 s at each change of weights. Change: half out, 0.15 s.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -52,14 +52,14 @@
 	// drainLimit is how long an engine is drained before its weights change under
 	// the requests that still run. Most have ended by then, and the capacity that
 	// is missing meanwhile costs more than the rest of the others.
-	drainLimit = 400 * time.Millisecond
+	drainLimit = 150 * time.Millisecond
 	// refusedRetry is the pause before an order that was refused is sent again.
 	refusedRetry = 150 * time.Millisecond
 	// orderRetry is how long an order may go without effect before it is sent again.
 	orderRetry = 2500 * time.Millisecond
 	// outShare is the share of the engines that may be out at once. The others
 	// must carry the load, and read their context anew.
-	outShare = 0.34
+	outShare = 0.5
 )
 
 type progress struct {
