--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -1,6 +1,6 @@
 // Package reload brings the engines of a model to a new weight version: it keeps
-// new work from some of them, lets what they run end, and orders them to load,
-// a few at a time.
+// new work from some of them and orders them to load, so that the others carry
+// the load meanwhile.
 package reload
 
 import (
@@ -50,8 +50,8 @@
 	// settle is the time in which all instances learn that an engine is drained.
 	settle = 120 * time.Millisecond
 	// drainLimit is how long an engine is drained before its weights change under
-	// the requests that still run. Most have ended by then, and the capacity that
-	// is missing meanwhile costs more than the rest of the others.
+	// the requests that still run: the capacity that is missing while they end
+	// costs callers more than their remainder on the new weights.
 	drainLimit = 150 * time.Millisecond
 	// refusedRetry is the pause before an order that was refused is sent again.
 	refusedRetry = 150 * time.Millisecond
