Log each swallowed error of the platform's path once

Cause: read as a newcomer: renewals of the membership, the own record and entries of the list of instances failed without a line; a store that is away had a line each 0.4 s. Ruled out: - Change: one line when it begins and one when it ends.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -63,6 +63,8 @@
 	lease     lease.Lease
 	candidacy lease.Candidacy
 	member    bool
+	// failing is true while renewals get no answer.
+	failing bool
 	// joined is when the last renewal that was answered was sent.
 	joined time.Time
 	// foreign has the replicas that another holder ordered, and when that was last
@@ -197,11 +199,15 @@
 	ttl := max(memberLife, d.Bounds.Bounds().MembershipMin)
 	sent := d.Now()
 	g, err := d.Log.Join(ctx, d.Name, ttl, generation)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if (err != nil) != d.failing {
+		d.failing = err != nil
+		_ = d.Logger.Log("msg", "The renewal of the membership changed.", "fails", d.failing, "err", err)
+	}
 	if err != nil {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.member, d.joined = true, sent
 	d.lease.Renew(sent, ttl, g)
 	if now := d.lease.Held(d.Now()); now != held {
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -241,7 +241,14 @@
 		_ = e.logger.Log("msg", "The instance's record can't be written.", "err", err)
 		return
 	}
-	for ctx.Err() == nil && e.out.Log.Put(ctx, e.cfg.Name, raw) != nil {
+	for tries := 1; ctx.Err() == nil; tries++ {
+		err := e.out.Log.Put(ctx, e.cfg.Name, raw)
+		if err == nil {
+			return
+		}
+		if tries == 1 {
+			_ = e.logger.Log("msg", "The instance's record is not written yet.", "err", err)
+		}
 		clock.Pause(ctx, announceEvery)
 	}
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -115,7 +115,11 @@
 	now := g.Now()
 	for _, rec := range changed {
 		var m roster.Member
-		if len(rec.Value) == 0 || json.Unmarshal(rec.Value, &m) != nil {
+		if len(rec.Value) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(rec.Value, &m); err != nil {
+			_ = g.Logger.Log("msg", "Ignored an entry of the list of instances.", "key", rec.Key, "err", err)
 			continue
 		}
 		g.add(now, m)
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -67,12 +67,20 @@
 
 func (u *Upstreams) followStore(ctx context.Context, control outside.Control, name string, address netip.AddrPort) {
 	var listed time.Time
+	failing := false
 	for ctx.Err() == nil {
 		began := u.Now()
 		err := u.readStore(ctx, control, name, address, &listed)
 		rest := eventsEvery - u.Now().Sub(began)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			msg := "A store of context can be read again."
+			if failing {
+				msg = "A store of context can't be read."
+			}
+			_ = u.Logger.Log("msg", msg, "store", name, "err", err)
+		}
 		if err != nil && ctx.Err() == nil {
-			_ = u.Logger.Log("msg", "A store of context can't be read.", "store", name, "err", err)
 			u.Directory(func(d *directory.Directory) { d.Forget(name) })
 			listed = time.Time{}
 			rest = storeBackoff
