Know from peers how long weights have been replaced

Ruled out: the holder of the duty; its orders were in time for the others. Change: peers tell how long ago versions were named; until then an instance that starts uses no older weights; the margin is 0.8 s in place of 0.5 s.

--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -215,6 +215,9 @@
 	// Fetches has for each model the oldest weight version whose context the
 	// sender may still fetch from stores.
 	Fetches []ModelVersion `json:"fetches"`
+	// Named has the newest weight version of each model, and how long ago it was
+	// named.
+	Named []NamedVersion `json:"named"`
 	// Deaths has contents that were running when several upstreams broke off.
 	Deaths []ContentDeaths `json:"deaths"`
 	// Known lists the instances that the sender knows.
@@ -246,6 +249,14 @@
 	Version int
 }
 
+// NamedVersion is a weight version and how long ago it was named.
+type NamedVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version int
+	Age     time.Duration
+}
+
 // ContentDeaths counts the upstreams that broke off while they ran a content.
 type ContentDeaths struct {
 	_       struct{} `cbor:",toarray"`
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -30,6 +30,12 @@
 		loads[l.Replica] = pool.Load{Running: l.Running, Tokens: l.Tokens, Reading: l.Reading}
 	}
 	u.mu.Lock()
+	for _, v := range g.Named {
+		n := u.named[v.Model]
+		if n.version == v.Version && !n.known {
+			u.named[v.Model] = naming{v.Version, now.Add(-v.Age), true}
+		}
+	}
 	u.pool.HearPeer(now, g.Name, loads)
 	for _, id := range g.Out {
 		u.pool.Reloading(id, now.Add(outLife))
@@ -48,6 +54,11 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	for model, n := range u.named {
+		if n.known {
+			g.Named = append(g.Named, message.NamedVersion{Model: model, Version: n.version, Age: u.Now().Sub(n.at)})
+		}
+	}
 	for id, l := range u.pool.Own() {
 		g.Loads = append(g.Loads, message.ReplicaLoad{Replica: id, Running: l.Running, Tokens: l.Tokens, Reading: l.Reading})
 	}
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -80,14 +80,17 @@
 	clockKnown bool
 }
 
+// naming is the newest weight version of a model and when it was named. An
+// instance that starts does not know that, and takes it from its peers.
 type naming struct {
 	version int
 	at      time.Time
+	known   bool
 }
 
-// versionMargin is taken off the time for old weights, for the time until a new version is
-// heard of.
-const versionMargin = 500 * time.Millisecond
+// versionMargin is taken off the time for old weights, for the time until a new
+// version is heard of, and until a replica begins with a request.
+const versionMargin = 800 * time.Millisecond
 
 // SetMembers takes the number of instances that share limits.
 func (u *Upstreams) SetMembers(n int) {
@@ -156,13 +159,21 @@
 	t := in.Table
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.named == nil {
+	first := u.named == nil
+	if first {
 		u.named, u.retired, u.started = map[string]naming{}, map[string]int{}, now
 	}
 	for model, version := range in.Versions {
-		if version > u.named[model].version {
-			u.named[model] = naming{version, now}
+		if version <= u.named[model].version {
+			continue
+		}
+		// What was named before this instance started may be of any age, so older
+		// weights are out of use until a peer tells better.
+		n := naming{version: version, at: now, known: !first}
+		if first {
+			n.at = now.Add(-u.Bounds.Bounds().Version)
 		}
+		u.named[model] = n
 	}
 	u.stores = map[string]netip.AddrPort{}
 	spaces := map[string]directory.Space{}
