Hear of a holder before the duty runs

Cause: found while reading: a peer that names ordered replicas before this instance's duty runs made it write into a nil map, which ends the process. Ruled out: - Change: the map is made when it is first used.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -99,7 +99,6 @@
 	}
 	d.reloads = map[string]*reload.Reload{}
 	d.retired = map[string]retired{}
-	d.foreign = map[string]time.Time{}
 	d.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { clock.Every(ctx, renewEvery, func() { d.renew(ctx) }) })
@@ -142,6 +141,10 @@
 		}
 	}
 	for _, id := range ordered {
+		// A peer may be heard before Run.
+		if d.foreign == nil {
+			d.foreign = map[string]time.Time{}
+		}
 		d.foreign[id] = at
 	}
 }
