Judge a store by its mean among stores with like parts

Change: a store is compared with those of its tier, by its own mean; the share comes back twice as fast.

--- a/core/directory/delay.go
+++ b/core/directory/delay.go
@@ -11,15 +11,17 @@
 	// first answer, and meanLife the time after which the mean is forgotten.
 	meanWeight = 0.15
 	meanLife   = 3 * time.Second
-	// slowTimes and slowBy are the multiple of the other stores' mean, and the
-	// time on top of it, from which an answer counts as slow. Replicas that are
-	// slow make the answers of all stores late, so that none is blamed.
+	// slowTimes and slowBy are the multiple of the like stores' mean, and the
+	// time on top of it, from which a store's own mean counts as slow. Replicas that
+	// are slow make the answers of all stores late, so that none is blamed; single
+	// late answers are common under load and tell nothing.
 	slowTimes = 2
-	slowBy    = 80 * time.Millisecond
-	// A slow answer multiplies the share of fetches from its stores by slowFactor,
-	// another one adds quickStep, so that the load settles at what a store bears.
+	slowBy    = 50 * time.Millisecond
+	// An answer while the store is slow multiplies its share of fetches by
+	// slowFactor, another one adds quickStep, so that the load settles at what the
+	// store bears.
 	slowFactor = 0.7
-	quickStep  = 0.05
+	quickStep  = 0.1
 	leastShare = 0.1
 	// savingShare is the share from which parts are saved to a store.
 	savingShare = 0.7
@@ -49,16 +51,18 @@
 		if !ok {
 			continue
 		}
-		if others := d.othersMean(now, name); others > 0 {
-			share := s.fetches.share(now)
-			if took > slowTimes*others+slowBy {
-				share = max(leastShare, share*slowFactor)
-			} else {
-				share = min(1, share+quickStep)
-			}
-			s.fetches.cut, s.fetches.at = 1-share, now
-		}
 		s.observe(now, took)
+		others := d.othersMean(now, name)
+		if others == 0 {
+			continue
+		}
+		share := s.fetches.share(now)
+		if s.mean > slowTimes*others+slowBy {
+			share = max(leastShare, share*slowFactor)
+		} else {
+			share = min(1, share+quickStep)
+		}
+		s.fetches.cut, s.fetches.at = 1-share, now
 	}
 }
 
@@ -70,19 +74,29 @@
 	s.meanAt = now
 }
 
-// othersMean is the median of the other stores' means; 0 if there is none.
+// othersMean is the median of the means of the other stores of a store's tier,
+// which hold parts of like size; of all others if the tier has none; 0 if there
+// is none at all.
 func (d *Directory) othersMean(now time.Time, store string) time.Duration {
-	var means []time.Duration
+	var tier, all []time.Duration
+	quick := d.shelves[store].transfer(probe)
 	for name, s := range d.shelves {
-		if name != store && now.Sub(s.meanAt) <= meanLife {
-			means = append(means, s.mean)
+		if name == store || now.Sub(s.meanAt) > meanLife {
+			continue
+		}
+		all = append(all, s.mean)
+		if s.transfer(probe) == quick {
+			tier = append(tier, s.mean)
 		}
 	}
-	if len(means) == 0 {
+	if len(tier) > 0 {
+		all = tier
+	}
+	if len(all) == 0 {
 		return 0
 	}
-	slices.Sort(means)
-	return means[(len(means)-1)/2]
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
 }
 
 // Worth reports whether a part should be fetched from a store: it is expected
