--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -63,6 +63,8 @@
 	lease     lease.Lease
 	candidacy lease.Candidacy
 	member    bool
+	// retiring is true once the instance is about to end.
+	retiring bool
 	// failing is true while renewals get no answer.
 	failing bool
 	// joined is when the last renewal that was answered was sent.
@@ -107,8 +109,16 @@
 	wg.Wait()
 }
 
-// Leave gives the duty up.
-func (d *Duty) Leave(ctx context.Context) {
+// Retire gives the duty up for good, since the instance is about to end.
+func (d *Duty) Retire(ctx context.Context) {
+	d.mu.Lock()
+	d.retiring = true
+	d.mu.Unlock()
+	d.leave(ctx)
+}
+
+// leave gives the membership up.
+func (d *Duty) leave(ctx context.Context) {
 	d.mu.Lock()
 	member := d.member
 	d.member = false
@@ -181,11 +191,11 @@
 		d.member = false
 	}
 	member := d.member
-	apply := d.candidacy.Apply(now, rank)
+	apply := d.candidacy.Apply(now, rank) && !d.retiring
 	d.mu.Unlock()
 	switch {
 	case member && !held && elsewhere:
-		d.Leave(ctx)
+		d.leave(ctx)
 	case member || apply:
 		if !member {
 			_ = d.Logger.Log("msg", "Asked for the duty.", "rank", rank, "hears-most", most, "held-before", held)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -282,7 +282,7 @@
 	e.gossip.Leave()
 	_ = e.logger.Log("msg", "The instance is leaving.", "in-flight", e.relay.InFlight(), "connections", e.conns.Load())
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
-	e.duty.Leave(leave)
+	e.duty.Retire(leave)
 	cancel()
 	time.Sleep(min(unreadyWait, e.bounds.Bounds().Grace/2))
 	// Idle connections are closed now; running requests end.
