Say nothing of "not run" once a request was sent

Ruled out: the other ends of a request; each asks whether a try may have run. Change: such a request ends with 504. Requests that run at most once never wait for a second replica after a write, so they were not concerned.

--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -131,6 +131,9 @@
 			if c.r.Context().Err() != nil {
 				return nil, &refusal{code: "caller-left", abort: true}
 			}
+			if c.runs > 0 {
+				return nil, &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
+			}
 			return nil, notRun("not-started-in-time", comeBack[reason])
 		}
 	}
