Draw the stores' tiers from the different parts, not from how often they are asked for

Cause: the share of a store was taken from the tokens asked for, so the few opening parts that each prompt has filled the quick stores' tier on paper, and parts of 500 tokens went to the slow stores, where 6 ms of each transfer are lost. The new case fails without the count by part.

--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -64,8 +64,14 @@
 				p, _ := part(args[2])
 				d.Free(args[1], []Part{p})
 			case "asked":
-				for range number(args[2]) {
-					d.Asked(number(args[1]))
+				// asked SIZE COUNT: so many different parts; asked SIZE COUNT ID: one
+				// part so many times.
+				for i := range number(args[2]) {
+					id := args[1] + "-" + strconv.Itoa(i)
+					if len(args) > 3 {
+						id = args[3]
+					}
+					d.Asked(id, number(args[1]))
 				}
 			case "took":
 				took, _ := time.ParseDuration(args[2])
--- a/core/directory/tier.go
+++ b/core/directory/tier.go
@@ -3,41 +3,45 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Sizes of the sample that the tiers are drawn from.
 const (
-	// sampled is the number of recent parts whose sizes are kept.
-	sampled = 256
+	// sampled is the number of different parts whose sizes are kept.
+	sampled = 4096
 	// resample is the number of parts after which the tiers are drawn anew.
-	resample = 32
+	resample = 128
 	// probe is the size of the parts by whose transfer time stores are ranked.
 	probe = 1024
 )
 
-// sizes is a sample of the sizes of parts that were asked for. The zero value
-// is empty.
+// sizes is a sample of the sizes of the different parts that were asked for.
+// The zero value is empty.
 type sizes struct {
-	ring  [sampled]int
+	// slots has the size of the last part that hashed to a slot, so that a part
+	// that is asked for often counts once: it takes space once.
+	slots [sampled]int32
 	count int
-	// tierOf has the largest part of each store's tier, from the sample.
+	// bounds has the range of sizes of each store's tier, from the sample.
 	bounds map[string][2]int
 	drawn  int
 }
 
 // Asked notes the size of a part that a request names.
-func (d *Directory) Asked(tokens int) {
-	d.sizes.ring[d.sizes.count%sampled] = tokens
+func (d *Directory) Asked(id string, tokens int) {
+	d.sizes.slots[xxhash.Sum64String(id)%sampled] = int32(tokens)
 	d.sizes.count++
 }
 
 // inTier reports whether a part of this size belongs to a store. A transfer has
 // a fixed delay that differs between stores, so quick stores save most time per
 // token of space with small parts: the smallest parts go to the quickest
-// stores, such that each store has the same share of the tokens asked for as it
-// has of all space.
+// stores, such that each store gets the same share of the different parts'
+// tokens as it has of all space.
 func (d *Directory) inTier(store string, tokens int) bool {
-	if d.sizes.bounds == nil || d.sizes.count-d.sizes.drawn >= resample {
+	if d.sizes.bounds == nil || d.sizes.count-d.sizes.drawn >= min(resample, d.sizes.drawn) {
 		d.drawTiers()
 	}
 	b, ok := d.sizes.bounds[store]
@@ -47,12 +51,15 @@
 func (d *Directory) drawTiers() {
 	d.sizes.drawn = d.sizes.count
 	d.sizes.bounds = map[string][2]int{}
-	sample := append([]int(nil), d.sizes.ring[:min(d.sizes.count, sampled)]...)
-	sort.Ints(sample)
+	var sample []int
 	asked := 0
-	for _, n := range sample {
-		asked += n
+	for _, n := range d.sizes.slots {
+		if n > 0 {
+			sample = append(sample, int(n))
+			asked += int(n)
+		}
 	}
+	sort.Ints(sample)
 	names := d.ranked()
 	space := 0
 	for _, name := range names {
--- a/entry/upstreams/place.go
+++ b/entry/upstreams/place.go
@@ -128,7 +128,7 @@
 	longest := time.Duration(0)
 	for i, piece := range j.Pieces[:len(j.Pieces)-1] {
 		part := directory.Part{Salt: t.Salt, ID: piece.ID}
-		u.dir.Asked(piece.Tokens)
+		u.dir.Asked(piece.ID, piece.Tokens)
 		limit := fetchTime(j.Target, piece.Tokens)
 		if old {
 			limit = min(limit, oldFetchLimit)
