Set aside memory for the answer that a caller expects, and no more than there is

Cause: memory was counted with the longest answer allowed, three times the usual one, and replicas were filled to 1.25 of it. With many short requests that is 0.9 of the true memory, with long prompts 1.2: the latter wait at the replica, and all behind them. Change: the length that the caller estimates counts, else a third of the longest; replicas are filled to 1.0, and count as tight from 0.8 on.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -46,15 +46,19 @@
 // the platform's pages give it.
 const farTimes = 2
 
+// Time is the time that the transfer takes for a replica of a data centre.
+func (m Move) Time(dataCentre string) time.Duration {
+	if m.DataCentre != dataCentre {
+		return m.First + farTimes*m.Body
+	}
+	return m.First + m.Body
+}
+
 // moving returns the time of all transfers for a replica.
 func moving(moves []Move, dataCentre string) time.Duration {
 	var sum time.Duration
 	for _, m := range moves {
-		body := m.Body
-		if m.DataCentre != dataCentre {
-			body *= farTimes
-		}
-		sum += m.First + body
+		sum += m.Time(dataCentre)
 	}
 	return sum
 }
@@ -113,14 +117,14 @@
 	oldVersionDelay = 40 * time.Millisecond
 	// tightDelay is added at full memory; it grows from tightFrom on.
 	tightDelay = 400 * time.Millisecond
-	tightFrom  = 0.6
+	tightFrom  = 0.8
 	// failDelay is added for a replica that fails all requests.
 	failDelay = 500 * time.Millisecond
 	// unknownDelay is the delay of a service that has not answered yet.
 	unknownDelay = 50 * time.Millisecond
 	// fullSlots and fullMemory are the loads at which a replica is full.
 	fullSlots  = 2.0
-	fullMemory = 1.25
+	fullMemory = 1.0
 )
 
 // Choose returns the replica with the best estimate and counts the request
--- a/entry/outside/outside.go
+++ b/entry/outside/outside.go
@@ -89,14 +89,27 @@
 	// Patience is how long the caller waits; 0 if it does not say.
 	Patience time.Duration
 	Model    string
-	// Input and Output are tokens of the prompt and at most of the answer.
-	Input, Output int
+	// Input and Output are tokens of the prompt and at most of the answer;
+	// Expected is the caller's estimate of the answer's tokens, 0 if it has none.
+	Input, Output, Expected int
 	// Pieces are the prompt's parts in order; the last is the request's own.
 	Pieces []Piece
 	// ResumeAfter is the last event that the caller has.
 	ResumeAfter string
 }
 
+// usualAnswer is the part of the allowed answer that is used as a rule, as the
+// deployments' sheets give it for all kinds.
+const usualAnswer = 3
+
+// Answer returns the number of tokens that the answer likely has.
+func (a Ask) Answer() int {
+	if a.Expected > 0 {
+		return min(a.Expected, a.Output)
+	}
+	return a.Output / usualAnswer
+}
+
 // Offer is what the system adds to a request that it sends to a replica.
 type Offer struct {
 	Replica  string
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -148,7 +148,7 @@
 		return j
 	}
 	j.Model, j.Memory = c.ask.Model, c.service.Engine.Memory
-	j.Tokens, j.Reading = c.ask.Input+c.ask.Output, c.ask.Input
+	j.Tokens, j.Reading = c.ask.Input+c.ask.Answer(), c.ask.Input
 	j.Pieces, j.Input, j.Target = c.ask.Pieces, c.ask.Input, c.route.Target
 	if n := len(c.ask.Pieces); n > 0 {
 		j.Home = c.ask.Pieces[max(0, n-2)].ID
