Compare each request at a few replicas, so that instances don't act as one

Change: a request is compared at three drawn replicas, the homes of its context and the one that reads it; at all of them only if these are full.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,8 @@
 	ColdRate float64
 	// Memory is that of a replica in tokens; 0 if it has no limit.
 	Memory int
+	// Draw differs between requests; it decides which replicas are compared.
+	Draw uint64
 	// Closed holds the data centres that get no work, Tried the replicas that
 	// were already tried.
 	Closed, Tried map[string]bool
@@ -156,6 +159,10 @@
 		open = retryable(now, avoided)
 	}
 	best, seen := p.best(now, req, open)
+	if best == nil {
+		req.Draw = 0
+		best, seen = p.best(now, req, open)
+	}
 	if best == nil {
 		if len(open) > 0 {
 			reason = Full
@@ -188,10 +195,14 @@
 	usual := usualDelay(open)
 	first, second := homes(req.Home, open)
 	gain := homeGain + time.Duration(req.Missing)*missingGain
+	some := drawn(req.Draw, open)
 	var best *replica
 	var bestSeen Seen
 	var least time.Duration
 	for i, r := range open {
+		if !some[i] && i != first && i != second && r.ID != req.Reader {
+			continue
+		}
 		seen, ok := p.estimate(now, req, r, usual)
 		if !ok {
 			continue
@@ -215,6 +226,30 @@
 	return best, bestSeen
 }
 
+// compared is the number of replicas that a request is compared at.
+const compared = 3
+
+// drawn chooses the replicas that a request is compared at.
+func drawn(draw uint64, all []*replica) []bool {
+	some := make([]bool, len(all))
+	if draw == 0 || len(all) <= compared {
+		for i := range some {
+			some[i] = true
+		}
+		return some
+	}
+	for range compared {
+		best, top := -1, uint64(0)
+		for i, r := range all {
+			if s := xxhash.Sum64String(strconv.FormatUint(draw, 36) + r.ID); !some[i] && (best < 0 || s > top) {
+				best, top = i, s
+			}
+		}
+		some[best] = true
+	}
+	return some
+}
+
 // estimate returns the expected delay of a request at a replica; ok is false if
 // the replica is full.
 func (p *Pool) estimate(now time.Time, req Request, r *replica, usual time.Duration) (seen Seen, ok bool) {
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/entry/guard"
@@ -143,6 +145,7 @@
 func (c *call) job() upstreams.Job {
 	j := upstreams.Job{Request: pool.Request{
 		Service: c.service.Name, ColdRate: c.service.ColdRate, Closed: c.intent.Closed, Tried: c.tried,
+		Draw: xxhash.Sum64String(c.ask.ID) | 1,
 	}}
 	if c.service.Engine == nil || c.ask.Model == "" {
 		return j
