Keep a replica out until it holds the version that it is out for

Cause: peers tell for 5 s that a replica has loaded weights, and each such message let the replica have work again. A second version is named 4 s after the first, so that in the second wave no replica stayed out: they refused up to 420 requests with 503 or 421, the retry budget was used up, and up to 180 callers of two seconds were refused. Change: a replica is out for a version; it has work again when it holds that version, when the holder releases it, or when the time is over. The new test fails if news of weights releases replicas.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		switch {
-		case now.Before(r.reloadUntil) || r.Versions[req.Model] < req.Oldest:
+		case r.reloading(now) || r.Versions[req.Model] < req.Oldest:
 			reason = Reloading
 		case p.cold(now, r, req.ColdRate):
 			reason = Cold
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -65,15 +65,27 @@
 	}
 	failures   int
 	avoidUntil time.Time
-	// reloadUntil is how long it gets no new work because its weights are
-	// about to change.
-	reloadUntil time.Time
-	grant       float64
-	grantAt     time.Time
-	delay       time.Duration
-	delayAt     time.Time
-	failRate    float64
-	failAt      time.Time
+	// reload is the change of its weights for which it gets no new work.
+	reload   reload
+	grant    float64
+	grantAt  time.Time
+	delay    time.Duration
+	delayAt  time.Time
+	failRate float64
+	failAt   time.Time
+}
+
+// reload is a change of a replica's weights that is about to happen.
+type reload struct {
+	model   string
+	version int
+	until   time.Time
+}
+
+// reloading reports whether a replica gets no new work because its weights are
+// about to change.
+func (r *replica) reloading(now time.Time) bool {
+	return now.Before(r.reload.until) && r.Versions[r.reload.model] < r.reload.version
 }
 
 type peerLoad struct {
@@ -198,13 +210,13 @@
 	return out
 }
 
-// Running returns the number of requests in flight at a replica, over all
-// instances that told theirs.
-func (p *Pool) Running(now time.Time, id string) int {
+// Load returns the work in flight at a replica, over all instances that told
+// theirs.
+func (p *Pool) Load(now time.Time, id string) Load {
 	if r, ok := p.replicas[id]; ok {
-		return r.load(now).Running
+		return r.load(now)
 	}
-	return 0
+	return Load{}
 }
 
 // HearPeer takes the whole load that another instance has in flight.
@@ -329,10 +341,18 @@
 	r.Versions = versions
 }
 
-// Reloading keeps new work from a replica until a moment.
-func (p *Pool) Reloading(id string, until time.Time) {
+// Reloading keeps new work from a replica until it holds a weight version, or
+// until a moment.
+func (p *Pool) Reloading(id, model string, version int, until time.Time) {
+	if r, ok := p.replicas[id]; ok {
+		r.reload = reload{model, version, until}
+	}
+}
+
+// Release lets a replica have new work again.
+func (p *Pool) Release(id string) {
 	if r, ok := p.replicas[id]; ok {
-		r.reloadUntil = until
+		r.reload = reload{}
 	}
 }
 
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -51,7 +51,10 @@
 	case "refused":
 		p.Refused(at(args[1]), args[2])
 	case "reloading":
-		p.Reloading(args[2], at(args[1]))
+		// reloading UNTIL-MS ID VERSION.
+		p.Reloading(args[2], "m", number(args[3]), at(args[1]))
+	case "release":
+		p.Release(args[1])
 	case "first":
 		p.FirstAnswer(at(args[1]), args[2], Load{}, time.Duration(number(args[3]))*time.Millisecond)
 	case "saw":
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -75,14 +75,19 @@
 // is not safe for concurrent use.
 type Reload struct {
 	engines map[string]progress
+	target  int
 }
 
+// Target returns the version that the engines are brought to.
+func (rl *Reload) Target() int { return rl.target }
+
 // Step returns what to do now so that all engines come to the version.
 // Once old weights may not be used any more, all engines are out.
 func (rl *Reload) Step(now time.Time, target int, all []Engine, expired bool) []Action {
 	if rl.engines == nil {
 		rl.engines = map[string]progress{}
 	}
+	rl.target = target
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	var out []Action
 	out = append(out, rl.finish(target, all)...)
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -12,6 +12,7 @@
 
 	"crocusfold.dev/core/lease"
 	"crocusfold.dev/core/reload"
+	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
 	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/entry/topics"
@@ -76,16 +77,18 @@
 	retired map[string]retired
 }
 
-// Out returns the replicas that this instance keeps new work from, and those of
-// them that it has ordered.
-func (d *Duty) Out() (out, ordered []string) {
+// Out returns the replicas that this instance keeps new work from until they
+// hold a weight version, and those of them that it has ordered.
+func (d *Duty) Out() (out []message.ReplicaVersion, ordered []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.lease.Held(d.Now()) {
 		return nil, nil
 	}
-	for _, r := range d.reloads {
-		out = append(out, r.Out()...)
+	for model, r := range d.reloads {
+		for _, id := range r.Out() {
+			out = append(out, message.ReplicaVersion{Replica: id, Model: model, Version: r.Target()})
+		}
 		ordered = append(ordered, r.Ordered()...)
 	}
 	return out, ordered
--- a/entry/duty/reload.go
+++ b/entry/duty/reload.go
@@ -48,29 +48,29 @@
 		switch a := a.(type) {
 		case reload.Drain:
 			_ = d.Logger.Log("msg", "A replica gets no new work before its weights change.", "replica", a.ID, "version", version)
-			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, now.Add(loadLimit)) })
+			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, model, version, now.Add(loadLimit)) })
 		case reload.Release:
-			d.Upstreams.With(func(p *pool.Pool) { p.Reloading(a.ID, time.Time{}) })
+			d.Upstreams.With(func(p *pool.Pool) { p.Release(a.ID) })
 		case reload.Load:
 			go d.load(ctx, replicas[a.ID], model, a)
 		case reload.Watch:
 			go d.watch(ctx, replicas[a.ID], model, a.Version)
 		}
 	}
-	d.hold(now, r, model)
+	d.hold(now, r, model, version)
 	if len(actions) > 0 {
 		d.Nudge()
 	}
 }
 
 // hold keeps new work from the replicas that are out.
-func (d *Duty) hold(now time.Time, r *reload.Reload, model string) {
+func (d *Duty) hold(now time.Time, r *reload.Reload, model string, version int) {
 	d.mu.Lock()
 	out := r.Out()
 	d.mu.Unlock()
 	d.Upstreams.With(func(p *pool.Pool) {
 		for _, id := range out {
-			p.Reloading(id, now.Add(time.Second))
+			p.Reloading(id, model, version, now.Add(time.Second))
 		}
 	})
 }
@@ -86,7 +86,7 @@
 			for _, r := range p.All(s.Name) {
 				if held, ok := r.Versions[model]; ok && !r.Draining {
 					replicas[r.ID] = r
-					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Running(now, r.ID)})
+					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Load(now, r.ID).Running})
 				}
 			}
 		}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -62,8 +62,9 @@
 
 // Duty is what is told and heard of the duties.
 type Duty interface {
-	// Out returns the replicas that get no new work, and those of them that were ordered.
-	Out() (out, ordered []string)
+	// Out returns the replicas that get no new work until they hold a weight
+	// version, and those of them that were ordered.
+	Out() (out []message.ReplicaVersion, ordered []string)
 	Holds(now time.Time) bool
 	// HolderSeen returns how long ago another holder was known.
 	HolderSeen(now time.Time) (age time.Duration, ok bool)
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -205,9 +205,9 @@
 	Views []ViewState `json:"views"`
 	// Loads is the work that the sender has in flight.
 	Loads []ReplicaLoad `json:"loads"`
-	// Out lists the replicas that get no new work because their weights are
-	// about to change; only the holder of the duty names some.
-	Out []string `json:"out"`
+	// Out lists the replicas that get no new work until they hold a weight
+	// version; only the holder of the duty names some.
+	Out []ReplicaVersion `json:"out"`
 	// Ordered lists those of them that were ordered to load.
 	Ordered []string `json:"ordered"`
 	// Loaded lists the replicas whose weights changed lately.
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -37,13 +37,12 @@
 		}
 	}
 	u.pool.HearPeer(now, g.Name, loads)
-	for _, id := range g.Out {
-		u.pool.Reloading(id, now.Add(outLife))
+	for _, o := range g.Out {
+		u.pool.Reloading(o.Replica, o.Model, o.Version, now.Add(outLife))
 	}
 	u.mu.Unlock()
 	for _, v := range g.Loaded {
 		u.Loaded(now, v)
-		u.With(func(p *pool.Pool) { p.Reloading(v.Replica, time.Time{}) })
 	}
 }
 
