Decide what follows a failed try in one place

Cause: the product's own front and the platform's decided separately, in three places, whether a failed request may go to another upstream, what it costs of the retry budget and what may still be said of it. They differed: calls to services gave up on the first refusal that all upstreams had made, chat counted engines that were not reached, and the platform's path ended after four replicas that were not there. Change: core/tries decides it for all three, with scripts. An upstream that was not reached counts neither as a repeat nor as a try.

--- a/entry/gate/chat.go
+++ b/entry/gate/chat.go
@@ -12,6 +12,7 @@
 	"crocusfold.dev/core/account"
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/suspect"
+	"crocusfold.dev/core/tries"
 	"crocusfold.dev/core/weights"
 	"crocusfold.dev/core/work"
 	"crocusfold.dev/entry/cache"
@@ -76,13 +77,11 @@
 	deadline time.Time
 	note     explain.Explanation
 	tried    map[string]bool
-	// attempts counts the tries that reached an engine, sends all of them.
-	attempts int
-	sends    int
+	tries    tries.Tries
+	// sends is the number of engines that it was sent to.
+	sends int
 	// last is the engine that was tried last.
-	last string
-	// paid is the number of attempts that the retry budget has counted.
-	paid   int
+	last   string
 	unlock func()
 }
 
--- a/entry/gate/chatanswer.go
+++ b/entry/gate/chatanswer.go
@@ -87,6 +87,9 @@
 		if a.ctx.Err() != nil {
 			return ev, err
 		}
+		if ref := a.gate.afterFailure(a.ctx, a.run, err); ref != nil {
+			return ev, ref
+		}
 		a.gate.metrics.resumes.Inc(1)
 	}
 }
--- a/entry/gate/service.go
+++ b/entry/gate/service.go
@@ -16,6 +16,7 @@
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/order"
 	"crocusfold.dev/core/placement"
+	"crocusfold.dev/core/tries"
 	"crocusfold.dev/core/upstream"
 	"crocusfold.dev/core/work"
 	"crocusfold.dev/entry/explain"
@@ -196,12 +197,22 @@
 
 // forward sends a call that may be repeated.
 func (r *serviceRun) forward(ctx context.Context) (answer, error) {
-	for n := 1; ; n++ {
+	allowed := tries.Allowed{Tries: maxAttempts, Runs: 1}
+	if safe(r.call.method) {
+		allowed.Runs = maxAttempts
+	}
+	var t tries.Tries
+	for {
 		ans, run, err := r.dispatch(ctx)
 		if err == nil {
 			return ans, nil
 		}
-		if n == maxAttempts || run == attempt.NotRun || !safe(r.call.method) || ctx.Err() != nil || !r.gate.budget.Withdraw() {
+		if run == attempt.NotRun {
+			// Each upstream was asked already.
+			return nil, err
+		}
+		f := tries.Failure{Run: run, Reached: true, Expired: ctx.Err() != nil}
+		if _, end := t.Failed(f, allowed, r.gate.budget.Withdraw).(tries.GiveUp); end {
 			return nil, err
 		}
 		r.gate.metrics.retries.Inc(1)
--- a/entry/gate/source.go
+++ b/entry/gate/source.go
@@ -11,6 +11,7 @@
 	"crocusfold.dev/core/block"
 	"crocusfold.dev/core/placement"
 	"crocusfold.dev/core/suspect"
+	"crocusfold.dev/core/tries"
 	"crocusfold.dev/core/upstream"
 	"crocusfold.dev/entry/engineclient"
 	"crocusfold.dev/entry/explain"
@@ -49,56 +50,60 @@
 // openSource sends the request to the best engine that takes it. It returns a
 // refusal when there is none left to try.
 func (g *Gate) openSource(ctx context.Context, run *chatRun, resumeFrom int) (*source, error) {
-	said := attempt.NotRun
-	if run.attempts > 0 {
-		said = attempt.Unknown
-	}
-	noRoom := refuse(run.call.id, http.StatusServiceUnavailable, codeNoUpstream,
-		"no upstream for this work may take more now").retry(retrySoon)
-	for run.attempts < maxAttempts {
+	for {
 		if err := g.standing(ctx, run); err != nil {
 			// An interrupted request waits for the equal one that is being tried.
-			if err.code == codeSuspectBusy && run.attempts > 0 && g.waitForRoom(ctx, run.call, true) {
+			if err.code == codeSuspectBusy && run.tries.Runs() > 0 && g.waitForRoom(ctx, run.call, true) {
 				continue
 			}
-			err.run = said
+			err.run = run.tries.Said()
 			return nil, err
 		}
-		if run.attempts > run.paid {
-			run.paid = run.attempts
-			if !g.budget.Withdraw() {
-				return nil, refuse(run.call.id, http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").state(said).retry(retryLater)
-			}
-		}
 		src, err := g.tryNext(ctx, run, resumeFrom)
 		switch {
 		case err == nil:
 			return src, nil
-		case errors.Is(err, errNoRoom) && g.waitForRoom(ctx, run.call, run.attempts > 0):
+		case errors.Is(err, errNoRoom) && g.waitForRoom(ctx, run.call, run.tries.Runs() > 0):
 			continue
 		case errors.Is(err, errNoRoom) || errors.Is(err, errAllTried):
-			return nil, noRoom.state(said)
-		case errors.Is(err, engineclient.ErrUnreachable):
+			return nil, run.noRoom()
+		}
+		if errors.Is(err, engineclient.ErrUnreachable) {
 			// It is left out while it is down, and may be tried when it is back.
-			run.forget()
-			g.metrics.retries.Inc(1)
-		case provablyNotRun(err):
-			g.metrics.retries.Inc(1)
-		default:
-			said = attempt.Unknown
-			g.metrics.retries.Inc(1)
+			delete(run.tried, run.last)
 		}
-		if ctx.Err() != nil {
-			break
+		if ref := g.afterFailure(ctx, run, err); ref != nil {
+			return nil, ref
 		}
 	}
-	return nil, noRoom.state(said)
 }
 
-// forget takes back the last attempt, which reached nobody.
-func (r *chatRun) forget() {
-	r.attempts--
-	delete(r.tried, r.last)
+// afterFailure returns the final answer after an engine has failed the request,
+// or nil if it may go to another one. A stream goes on at its next token, so any
+// number of engines may run it.
+func (g *Gate) afterFailure(ctx context.Context, run *chatRun, err error) *refusal {
+	f := tries.Failure{Run: attempt.Unknown, Reached: true, Expired: ctx.Err() != nil}
+	switch {
+	case errors.Is(err, engineclient.ErrUnreachable):
+		f.Run, f.Reached = attempt.NotRun, false
+	case provablyNotRun(err):
+		f.Run = attempt.NotRun
+	}
+	end, ok := run.tries.Failed(f, tries.Allowed{Tries: maxAttempts, Runs: maxAttempts}, g.budget.Withdraw).(tries.GiveUp)
+	switch {
+	case !ok:
+		g.metrics.retries.Inc(1)
+		return nil
+	case end.Why == tries.OverBudget:
+		return refuse(run.call.id, http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").state(end.Run).retry(retryLater)
+	}
+	return run.noRoom()
+}
+
+// noRoom is the final answer to a request that no engine is left for.
+func (r *chatRun) noRoom() *refusal {
+	return refuse(r.call.id, http.StatusServiceUnavailable, codeNoUpstream,
+		"no upstream for this work may take more now").state(r.tries.Said()).retry(retrySoon)
 }
 
 // provablyNotRun reports whether nothing of a failed try was run.
@@ -244,7 +249,6 @@
 	run := s.run
 	run.tried[s.up.Name] = true
 	run.last = s.up.Name
-	run.attempts++
 	run.sends++
 	body, err := run.body(s.choice.Source == placement.Import)
 	if err != nil {
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -16,6 +16,7 @@
 
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/tries"
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
@@ -71,33 +72,40 @@
 	}
 }
 
+// allowed bounds the tries of the request.
+func (c *call) allowed() tries.Allowed {
+	if c.route.Repeatable() {
+		return tries.Allowed{Tries: maxTries, Runs: c.route.MaxAttempts}
+	}
+	return tries.Allowed{Tries: maxTries, Runs: 1}
+}
+
 // afterFailure returns the final answer after a failed try, or nil if the
 // request may be tried again.
 func (c *call) afterFailure(run attempt.Run, err error) *refusal {
 	if c.r.Context().Err() != nil {
 		return &refusal{code: "caller-left", abort: true}
 	}
-	if run != attempt.NotRun {
-		c.runs++
-	}
-	expired := c.ctx.Err() != nil
-	again := run == attempt.NotRun || c.route.Repeatable() && c.runs < c.route.MaxAttempts
-	if again && !expired && c.note.tries < maxTries {
-		// A replica that was never reached counts as no arrival.
-		free := c.paid || run == attempt.NotRun && !errors.Is(err, errRefused)
-		c.paid = false
-		if free || c.relay.Budget.Withdraw() {
-			return nil
-		}
+	f := tries.Failure{
+		Run: run, Reached: run != attempt.NotRun || errors.Is(err, errRefused), Expired: c.ctx.Err() != nil, Paid: c.paid,
 	}
-	if run == attempt.NotRun && c.runs == 0 {
-		code := "no-replica-took-it"
-		if expired {
-			code = "not-started-in-time"
-		}
-		return notRun(code, comeBack[pool.Failing])
+	c.paid = false
+	end, ok := c.tries.Failed(f, c.allowed(), c.relay.Budget.Withdraw).(tries.GiveUp)
+	switch {
+	case !ok:
+		return nil
+	case end.Run != attempt.NotRun:
+		return c.lost()
+	case end.Why == tries.Expired:
+		return notRun("not-started-in-time", comeBack[pool.Failing])
+	default:
+		return notRun("no-replica-took-it", comeBack[pool.Failing])
 	}
-	if expired {
+}
+
+// lost is the final answer to a request that a replica may have run.
+func (c *call) lost() *refusal {
+	if c.ctx.Err() != nil {
 		return &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
 	}
 	return &refusal{status: http.StatusBadGateway, code: "answer-lost"}
@@ -121,8 +129,8 @@
 			return t, nil
 		}
 		if now.Sub(c.began) > wait || reason == pool.NoReplica {
-			if c.runs > 0 {
-				return nil, &refusal{status: http.StatusBadGateway, code: "answer-lost"}
+			if c.tries.Runs() > 0 {
+				return nil, c.lost()
 			}
 			return nil, notRun(string(reason), comeBack[reason])
 		}
@@ -134,8 +142,8 @@
 			if c.r.Context().Err() != nil {
 				return nil, &refusal{code: "caller-left", abort: true}
 			}
-			if c.runs > 0 {
-				return nil, &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
+			if c.tries.Runs() > 0 {
+				return nil, c.lost()
 			}
 			return nil, notRun("not-started-in-time", comeBack[reason])
 		}
@@ -232,7 +240,7 @@
 		up.With(func(p *pool.Pool) { p.Erred(now, t.ID) })
 		// The failure is the replica's answer, so it is passed on unless another
 		// try is allowed; that try is paid for here.
-		if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.ctx.Err() == nil && c.relay.Budget.Withdraw() {
+		if c.tries.MayRunAgain(c.allowed()) && c.ctx.Err() == nil && c.relay.Budget.Withdraw() {
 			c.paid = true
 			return errErred
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,6 +17,7 @@
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/core/tries"
 	"crocusfold.dev/entry/outside"
 	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/entry/topics"
@@ -77,8 +78,7 @@
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	tried    map[string]bool
-	// runs is the number of replicas that may have run the request.
-	runs int
+	tries    tries.Tries
 	// paid is true if the next try was already taken off the retry budget.
 	paid bool
 	// abort closes the caller's connection, since no whole answer can be given.
