Give fetches less time, since a late one keeps the replica's link

Cause: a fetch of a large part had up to 1.5 s. While a store is slow, one that comes too late has kept the replica's link from all other fetches, and the part is read all the same. Change: 60 us in place of 150 us for each token that would have to be read.

--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -34,7 +34,7 @@
 	// all other requests, so it is worth a longer wait.
 	fetchLimit    = 1500 * time.Millisecond
 	fetchShare    = 0.45
-	fetchPerToken = 150 * time.Microsecond
+	fetchPerToken = 60 * time.Microsecond
 	// oldFetchLimit bounds fetches of context of weights that were replaced, so
 	// that it can be freed soon after the last of them.
 	oldFetchLimit = 500 * time.Millisecond
