Show the state of instances on the platform from their metrics

Cause: metrics told outcomes only by kind, and an operator had no view of all instances without a log search. Labels stay bounded: services and classes, not replicas and accounts. Tests with the programs and a page of metrics. Ruled out: a label for each replica; at the target size it would be 12,000.

--- a/cmd/edge_test.go
+++ b/cmd/edge_test.go
@@ -90,3 +90,47 @@
 		t.Fatal("the instance did not stop")
 	}
 }
+
+// TestEdgeTools: the operators' tool checks an instance's settings and shows its
+// state from its metrics.
+func TestEdgeTools(t *testing.T) {
+	is := is.New(t)
+	const host = "127.20.0.10"
+	file, _, _ := startEdge(t, host)
+	ctl := func(args ...string) (string, error) {
+		out, err := exec.Command(filepath.Join(binaries(t), "crocusctl"), args...).CombinedOutput()
+		return string(out), err
+	}
+	out, err := ctl("check", "--edge", file)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "the settings are usable"))
+
+	resp, err := http.Get("http://" + host + ":19205/anything")
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	f := &fleet{t: t}
+	f.until("the request to be counted", func() bool {
+		out, err = ctl("status", "--metrics", host+":9464")
+		return strings.Contains(out, "no-configuration (1)")
+	})
+	is.NoErr(err)
+
+	out, err = ctl("status", "--metrics", host+":9464", "--metrics", host+":9465")
+	is.True(err != nil) // one does not answer
+	is.True(strings.Contains(out, "no-configuration (1)"))
+	is.True(strings.Contains(out, "does not answer"))
+
+	writeSettings(t, file, strings.Replace(readFile(t, file), `"graceS": 1`, `"graceS": 0`, 1))
+	out, err = ctl("check", "--edge", file)
+	is.True(err != nil)
+	is.True(strings.Contains(out, "graceS")) // the fault names the key
+}
+
+func readFile(t *testing.T, file string) string {
+	t.Helper()
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -83,7 +83,10 @@
 type Choice struct {
 	Replica
 	Version int
-	Seen    Seen
+	// Cold is true if the replica is cold, so that the request counts against
+	// what it bears.
+	Cold bool
+	Seen Seen
 }
 
 // Seen is what was known of a replica's load when it was chosen.
@@ -169,10 +172,11 @@
 		}
 		return Choice{}, reason
 	}
-	if req.ColdRate > 0 && now.Before(best.ColdUntil) {
+	cold := req.ColdRate > 0 && now.Before(best.ColdUntil)
+	if cold {
 		best.grant--
 	}
-	return Choice{best.Replica, best.Versions[req.Model], seen}, ""
+	return Choice{best.Replica, best.Versions[req.Model], cold, seen}, ""
 }
 
 // retryable returns the replicas that did not fail for some time.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -51,6 +51,14 @@
 	return true
 }
 
+// Left returns the number of retries that may be taken now.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start()
+	return b.left
+}
+
 func (b *Budget) start() {
 	if !b.started {
 		b.started, b.left, b.most = true, first, most
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -102,6 +102,9 @@
 	self := roster.Member{Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre}
 	e := &Edge{cfg: cfg, out: out, net: network, now: now, logger: part("edge")}
 	e.bounds.Set(cfg.Bounds)
+	scope := e.metrics()
+	out.Log = countedLog{out.Log, scope}
+	e.out.Log = out.Log
 	e.mesh = &mesh.Mesh{Self: self, Client: &http.Client{Transport: network.Transport()}}
 	e.upstreams = &upstreams.Upstreams{
 		Network: network, Decoder: out.Decoder, Now: now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
@@ -128,7 +131,7 @@
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(e.metrics()), Crashes: crashes,
+		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(scope), Crashes: crashes,
 	}
 	return e
 }
@@ -144,6 +147,7 @@
 	proof := scope.Gauge("proof_age_seconds")
 	holder := scope.Gauge("duty_held")
 	inFlight := scope.Gauge("in_flight")
+	retries := scope.Gauge("retries_left")
 	e.gauges = func(now time.Time) {
 		if age, ok := e.topics.ProofAge(now); ok {
 			proof.Update(age.Seconds())
@@ -154,6 +158,7 @@
 		}
 		holder.Update(held)
 		inFlight.Update(float64(e.relay.InFlight()))
+		retries.Update(e.budget.Left())
 	}
 	return scope
 }
--- /dev/null
+++ b/entry/edge/logcalls.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/lease"
+	"crocusfold.dev/entry/outside"
+)
+
+// countedLog counts the calls to the platform's log, which are priced and limited.
+type countedLog struct {
+	outside.Log
+	scope tally.Scope
+}
+
+func (l countedLog) count(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	l.scope.Tagged(map[string]string{"call": call, "result": result}).Counter("log_calls").Inc(1)
+}
+
+// Newest counts and passes the call on.
+func (l countedLog) Newest(ctx context.Context, t outside.Topic) ([]feed.Record, uint64, error) {
+	records, next, err := l.Log.Newest(ctx, t)
+	l.count("newest", err)
+	return records, next, err
+}
+
+// Read counts and passes the call on.
+func (l countedLog) Read(ctx context.Context, t outside.Topic, from uint64, wait time.Duration) ([]feed.Record, uint64, error) {
+	records, next, err := l.Log.Read(ctx, t, from, wait)
+	l.count("read", err)
+	return records, next, err
+}
+
+// Put counts and passes the call on.
+func (l countedLog) Put(ctx context.Context, key string, value []byte) error {
+	err := l.Log.Put(ctx, key, value)
+	l.count("put", err)
+	return err
+}
+
+// Join counts and passes the call on.
+func (l countedLog) Join(ctx context.Context, member string, ttl time.Duration, generation uint64) (lease.Grant, error) {
+	g, err := l.Log.Join(ctx, member, ttl, generation)
+	l.count("join", err)
+	return g, err
+}
+
+// Leave counts and passes the call on.
+func (l countedLog) Leave(ctx context.Context, member string) error {
+	err := l.Log.Leave(ctx, member)
+	l.count("leave", err)
+	return err
+}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -52,6 +52,19 @@
 	errErred   = errors.New("the replica answered with a failure")
 )
 
+// failureName is the metrics' label of a failure.
+func failureName(err error) string {
+	switch {
+	case errors.Is(err, errRefused):
+		return "refused"
+	case errors.Is(err, errCrossed):
+		return "crossed"
+	case errors.Is(err, errErred):
+		return "erred"
+	}
+	return "unusable"
+}
+
 // forward offers the request to replicas until one answers.
 func (c *call) forward() *refusal {
 	for {
@@ -123,7 +136,10 @@
 		t, reason := c.relay.Upstreams.Place(now, job)
 		if reason == "" {
 			c.note.replica, c.note.version, c.note.context = t.ID, t.Version, t.Context()
-			c.note.fetched, c.note.saved = t.Parts()
+			c.note.parts, c.note.fetched, c.note.saved = t.Parts()
+			if t.Cold {
+				c.relay.Metrics.cold.Inc(1)
+			}
 			c.note.seen, c.note.reading = t.Seen, t.Load.Reading
 			c.note.placed = now.Sub(c.began)
 			return t, nil
@@ -185,6 +201,7 @@
 			if att.Run() != attempt.NotRun {
 				c.broke(now)
 			}
+			c.relay.Metrics.failed(t.Service, "connection")
 			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
 		}
 		return false, att.Run(), err
@@ -194,6 +211,7 @@
 	c.learn(now, t, reply)
 	if err := c.check(now, t, resp, reply); err != nil {
 		_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "status", resp.StatusCode, "err", err)
+		c.relay.Metrics.failed(t.Service, failureName(err))
 		if errors.Is(err, errRefused) {
 			att.Refused()
 			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -9,34 +9,65 @@
 	"crocusfold.dev/core/route"
 )
 
-// Metrics counts requests. Labels are bounded: the kinds of routes and the
-// outcomes that this package names.
+// Metrics counts requests. Labels are bounded: the kinds of routes, the classes
+// of accounts, the services, and the outcomes that this package names.
 type Metrics struct {
 	scope tally.Scope
 
-	mu       sync.Mutex
-	counters map[[2]string]tally.Counter
-	first    map[string]tally.Histogram
-	retries  tally.Counter
-	fetched  tally.Counter
-	saved    tally.Counter
+	mu         sync.Mutex
+	counters   map[labels]tally.Counter
+	histograms map[labels]tally.Histogram
+	retries    tally.Counter
+	fetched    tally.Counter
+	saved      tally.Counter
+	read       tally.Counter
+	cold       tally.Counter
+}
+
+// labels tell the series of one metric apart.
+type labels struct {
+	metric, kind, class, service, outcome string
+}
+
+func (l labels) tags() map[string]string {
+	out := map[string]string{}
+	for name, value := range map[string]string{"kind": l.kind, "class": l.class, "service": l.service, "outcome": l.outcome} {
+		if value != "" {
+			out[name] = value
+		}
+	}
+	return out
 }
 
 // NewMetrics makes the metrics of a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
-		scope: scope, counters: map[[2]string]tally.Counter{}, first: map[string]tally.Histogram{},
+		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{},
 		retries: scope.Counter("tries_again"), fetched: scope.Counter("parts_fetched"), saved: scope.Counter("parts_saved"),
+		read: scope.Counter("parts_read"), cold: scope.Counter("cold_grants"),
 	}
 }
 
-// firstBuckets are the bounds of the histogram of the time to the first byte.
-var firstBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 11)
+// timeBuckets are the bounds of the histograms.
+var timeBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 11)
 
 var kindNames = map[route.Kind]string{
 	route.NonIdempotent: "non-idempotent", route.Idempotent: "idempotent", route.Streaming: "streaming",
 }
 
+// class groups accounts, of which there may be many.
+func class(a route.Account) string {
+	switch {
+	case a.Name == "":
+		return "none"
+	case a.Isolated:
+		return "isolated"
+	case a.Ranked:
+		return "ranked"
+	}
+	return "plain"
+}
+
 // count adds a finished request.
 func (m *Metrics) count(c *call) {
 	kind := "unknown"
@@ -45,23 +76,40 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := [2]string{kind, c.note.outcome}
-	counter, ok := m.counters[key]
-	if !ok {
-		counter = m.scope.Tagged(map[string]string{"kind": kind, "outcome": c.note.outcome}).Counter("requests")
-		m.counters[key] = counter
-	}
-	counter.Inc(1)
+	m.counter(labels{metric: "requests", kind: kind, class: class(c.account), outcome: c.note.outcome}).Inc(1)
 	m.retries.Inc(int64(max(0, c.note.tries-1)))
 	m.fetched.Inc(int64(c.note.fetched))
 	m.saved.Inc(int64(c.note.saved))
-	if c.note.firstByte == 0 {
-		return
+	m.read.Inc(int64(c.note.parts - c.note.fetched - c.note.saved))
+	if c.note.replica != "" {
+		m.histogram(labels{metric: "placed", kind: kind}).RecordDuration(c.note.placed)
+	}
+	if c.note.firstByte > 0 {
+		m.histogram(labels{metric: "first_byte", kind: kind}).RecordDuration(c.note.firstByte)
 	}
-	h, ok := m.first[kind]
+}
+
+// failed adds a failed try at a replica of a service.
+func (m *Metrics) failed(service, how string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "tries_failed", service: service, outcome: how}).Inc(1)
+}
+
+func (m *Metrics) counter(l labels) tally.Counter {
+	c, ok := m.counters[l]
+	if !ok {
+		c = m.scope.Tagged(l.tags()).Counter(l.metric)
+		m.counters[l] = c
+	}
+	return c
+}
+
+func (m *Metrics) histogram(l labels) tally.Histogram {
+	h, ok := m.histograms[l]
 	if !ok {
-		h = m.scope.Tagged(map[string]string{"kind": kind}).Histogram("first_byte", firstBuckets)
-		m.first[kind] = h
+		h = m.scope.Tagged(l.tags()).Histogram(l.metric, timeBuckets)
+		m.histograms[l] = h
 	}
-	h.RecordDuration(c.note.firstByte)
+	return h
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -90,7 +90,8 @@
 type note struct {
 	replica, context, outcome string
 	version, tries, status    int
-	fetched, saved, reading   int
+	parts, fetched, saved     int
+	reading                   int
 	seen                      pool.Seen
 	proofAge, firstByte       time.Duration
 	placed                    time.Duration
--- a/entry/upstreams/place.go
+++ b/entry/upstreams/place.go
@@ -51,8 +51,9 @@
 	return strings.Join(t.sources, ",")
 }
 
-// Parts returns the number of pieces that are fetched and saved.
-func (t *Ticket) Parts() (fetched, saved int) {
+// Parts returns the number of shared pieces, and of those that are fetched and
+// saved.
+func (t *Ticket) Parts() (all, fetched, saved int) {
 	for _, source := range t.sources {
 		switch source[0] {
 		case '+':
@@ -61,7 +62,7 @@
 			saved++
 		}
 	}
-	return fetched, saved
+	return len(t.sources), fetched, saved
 }
 
 // Job is what a placement depends on beyond the pool's request.
--- a/operator/verb/check.go
+++ b/operator/verb/check.go
@@ -6,6 +6,7 @@
 
 	"crocusfold.dev/core/intent"
 	"crocusfold.dev/entry/config"
+	"crocusfold.dev/platform"
 	"crocusfold.dev/shell/settings"
 )
 
@@ -13,18 +14,20 @@
 with its file, line and key, and with what is allowed there.
 
   crocusctl check --intent intent.yaml
-  crocusctl check --entry entry.yaml`
+  crocusctl check --entry entry.yaml
+  crocusctl check --edge boot.json`
 
 type check struct {
 	tool   *tool
 	Intent string `long:"intent" value-name:"FILE" description:"an intent"`
 	Entry  string `long:"entry" value-name:"FILE" description:"settings of an entry instance"`
+	Edge   string `long:"edge" value-name:"FILE" description:"settings of an entry instance on the users' platform"`
 }
 
 // Execute checks the files that were named.
 func (c *check) Execute([]string) error {
-	if c.Intent == "" && c.Entry == "" {
-		return usageError{errors.New("name a file with --intent or --entry")}
+	if c.Intent == "" && c.Entry == "" && c.Edge == "" {
+		return usageError{errors.New("name a file with --intent, --entry or --edge")}
 	}
 	if c.Intent != "" {
 		if _, err := loadIntent(c.Intent); err != nil {
@@ -38,6 +41,12 @@
 		}
 		c.tool.printf("%s: the settings are usable\n", c.Entry)
 	}
+	if c.Edge != "" {
+		if _, err := platform.LoadSettings(c.Edge); err != nil {
+			return usageError{err}
+		}
+		c.tool.printf("%s: the settings are usable\n", c.Edge)
+	}
 	return nil
 }
 
--- a/operator/verb/status.go
+++ b/operator/verb/status.go
@@ -13,12 +13,24 @@
   current      proven complete a short time ago
   log-down     no instance hears the log, so nothing newer can be in force
   cut-off      others may know more; the instance takes no new work
-  unreachable  it did not answer`
+  unreachable  it did not answer
 
-type status struct{ tool *tool }
+With --metrics it reads the metrics of instances on the users' platform in
+place of that, and shows how old the proof of each one's configuration is, who
+holds the duty, and what becomes of the requests:
+
+  crocusctl status --metrics 10.1.0.36:9464 --metrics 10.1.0.37:9464`
+
+type status struct {
+	tool    *tool
+	Metrics []string `long:"metrics" value-name:"IP:PORT" description:"metrics address of an instance; may be repeated"`
+}
 
 // Execute prints one line for each instance.
 func (s *status) Execute([]string) error {
+	if len(s.Metrics) > 0 {
+		return s.showMetrics()
+	}
 	con, err := s.tool.console()
 	if err != nil {
 		return usageError{err}
