Notice when the last look at the lease or at retired context is missing

Cause: two mechanisms could be switched off without a failing test: the look at the lease between a replica's report and the order to it, and that context of old weights is not fetched any more once most replicas hold newer ones. Change: a test for each; both fail with the mechanism switched off. Ruled out: cases of the whole path; with fencing tokens a late order is refused by the replica, so nothing can be seen of it there.

--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -1,11 +1,18 @@
 package duty
 
 import (
+	"context"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"crocusfold.dev/core/lease"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/reload"
+	"crocusfold.dev/entry/outside"
 	"crocusfold.dev/entry/setup"
 )
 
@@ -21,3 +28,44 @@
 	is.Equal(age, time.Millisecond)
 	is.True(!d.Holds(now))
 }
+
+// slowControl is a platform whose replicas take a while to report.
+type slowControl struct {
+	outside.Control
+	report func()
+	orders int
+}
+
+func (c *slowControl) Report(context.Context, netip.AddrPort) (outside.Report, error) {
+	c.report()
+	return outside.Report{}, nil
+}
+
+func (c *slowControl) Order(context.Context, netip.AddrPort, outside.Order) (outside.OrderResult, error) {
+	c.orders++
+	return outside.OrderBusy, nil
+}
+
+// TestLastLookBeforeOrder: the duty may be lost while a replica is asked for its
+// state. No order may follow.
+func TestLastLookBeforeOrder(t *testing.T) {
+	const ttl = time.Second
+	for _, c := range []struct {
+		name   string
+		takes  time.Duration
+		orders int
+	}{
+		{"the duty is still held", ttl / 2, 1},
+		{"the duty has lapsed", ttl, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			control := &slowControl{report: func() { now = now.Add(c.takes) }}
+			d := &Duty{Bounds: &setup.Live{}, Control: control, Logger: log.NewNopLogger(), Now: func() time.Time { return now }}
+			d.lease.Renew(now, ttl, lease.Grant{Generation: 1, Held: true})
+			d.load(t.Context(), pool.Replica{ID: "r"}, "m", reload.Load{ID: "r", Version: 2})
+			is.Equal(control.orders, c.orders)
+		})
+	}
+}
--- /dev/null
+++ b/entry/upstreams/place_test.go
@@ -0,0 +1,69 @@
+package upstreams
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"crocusfold.dev/core/directory"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/route"
+	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/setup"
+	"crocusfold.dev/shell/network"
+)
+
+// TestContextOfOldWeights: once most replicas hold newer weights, context of the
+// old ones is not fetched any more, since it is freed soon.
+func TestContextOfOldWeights(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		newer int
+		fetch bool
+	}{
+		{"one of three replicas has newer weights", 1, true},
+		{"two of three replicas have newer weights", 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.UnixMilli(1_000_000)
+			u := &Upstreams{
+				Network: network.Network{}, Logger: log.NewNopLogger(), Bounds: &setup.Live{}, Now: func() time.Time { return now },
+			}
+			u.Bounds.Set(setup.Bounds{Version: time.Minute})
+			store := route.Service{Name: "kept", Store: &route.Store{Address: netip.MustParseAddrPort("10.0.0.9:80"), Capacity: 10_000}}
+			table := func() *route.Table {
+				return route.NewTable(1, route.Limits{}, nil, []route.Service{store}, nil, false)
+			}
+			u.Configure(&outside.Intent{Table: table(), Versions: map[string]int{"m": 1}})
+			// An instance that has just started fetches context of the newest weights only.
+			now = now.Add(learnTime)
+			u.Configure(&outside.Intent{Table: table(), Versions: map[string]int{"m": 2}})
+			part := directory.Part{Salt: directory.Salt("m", 1, ""), ID: "p"}
+			u.Directory(func(d *directory.Directory) {
+				d.Replace(now, "kept", directory.Listing{Epoch: 1, Last: 1, Held: map[directory.Part]int{part: 100}})
+			})
+			tried := map[string]bool{}
+			for i, id := range []string{"a", "b", "c"} {
+				version := 1
+				if i < c.newer {
+					version, tried[id] = 2, true
+				}
+				u.With(func(p *pool.Pool) {
+					p.Set(pool.Replica{ID: id, Service: "s", Slots: 4, Versions: map[string]int{"m": version}})
+				})
+			}
+			ticket, reason := u.Place(now, Job{
+				Request: pool.Request{Service: "s", Model: "m", Memory: 10_000, Tokens: 200, Tried: tried},
+				Pieces:  []outside.Piece{{ID: "p", Tokens: 100}, {ID: "own", Tokens: 100}}, Input: 200, Target: time.Second,
+			})
+			is.Equal(reason, pool.Reason(""))
+			is.Equal(ticket.Version, 1)
+			fetched := len(ticket.Fetch) > 0 && ticket.Fetch[0].IsValid()
+			is.Equal(fetched, c.fetch)
+		})
+	}
+}
