Split the polling of upstreams from the fleet, and use one ticker loop

Ruled out: joining the imports that many test files share; they are no logic. All tests pass under the race detector.

--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -21,7 +21,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/shell/jsoncall"
+	"crocusfold.dev/shell/clock"
 )
 
 // Times of the fleet.
@@ -109,16 +109,7 @@
 
 // Run polls the sponsored upstreams until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.round(ctx)
-		}
-	}
+	clock.Every(ctx, pollInterval, func() { f.round(ctx) })
 }
 
 // round polls each upstream that this instance sponsors and shares the result.
@@ -174,56 +165,6 @@
 	}
 }
 
-func (f *Fleet) poll(ctx context.Context, u upstream.Upstream) (message.Load, bool) {
-	sp := f.sponsored(u.Name)
-	ctx, cancel := context.WithTimeout(ctx, pollLimit)
-	defer cancel()
-	var rep struct {
-		Incarnation string `json:"incarnation"`
-		Running     int    `json:"running"`
-		Version     string `json:"version"`
-		Backlog     int    `json:"backlog-millis"`
-	}
-	if err := f.get(ctx, u, "/load", &rep); err != nil {
-		return message.Load{}, false
-	}
-	version := uint64(0)
-	if !u.Service {
-		version = message.Digest(rep.Version)
-		f.pollCache(ctx, u, sp)
-		f.reconcile(context.WithoutCancel(ctx), u, rep.Version)
-	}
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if old := sp.ramp.Incarnation(); old != rep.Incarnation {
-		_ = f.Logger.Log("msg", "An upstream has a new incarnation and is cold.", "upstream", u.Name, "incarnation", rep.Incarnation)
-	}
-	sp.ramp.Observe(now, rep.Incarnation, rep.Running)
-	return message.Load{
-		Upstream: message.Digest(u.Name), Incarnation: message.Digest(rep.Incarnation),
-		Version: version, Running: rep.Running, BacklogMillis: rep.Backlog, Warm: sp.ramp.Warm(now),
-	}, true
-}
-
-// Probe reports the digest of the upstream's incarnation now.
-func (f *Fleet) Probe(ctx context.Context, u upstream.Upstream) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollLimit)
-	defer cancel()
-	var rep struct {
-		Incarnation string `json:"incarnation"`
-	}
-	err := f.get(ctx, u, "/load", &rep)
-	return message.Digest(rep.Incarnation), err
-}
-
-func (f *Fleet) get(ctx context.Context, u upstream.Upstream, path string, out any) error {
-	if err := jsoncall.Get(ctx, f.Client, "http://"+u.Address.String()+path, out); err != nil {
-		return fmt.Errorf("reading a report of %s: %w", u.Name, err)
-	}
-	return nil
-}
-
 func (f *Fleet) sponsored(name string) *sponsored {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -14,6 +14,7 @@
 	"crocusfold.dev/entry/follow"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/shell/clock"
 )
 
 // Times and amounts of leases.
@@ -70,17 +71,10 @@
 
 // Run renews leases until ctx ends.
 func (l *Limits) Run(ctx context.Context) {
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			l.prepareOwned(time.Now())
-			l.renew(ctx)
-		}
-	}
+	clock.Every(ctx, renewInterval, func() {
+		l.prepareOwned(time.Now())
+		l.renew(ctx)
+	})
 }
 
 // prepareOwned makes the quotas of newly owned accounts before they are asked
