Ask for the duty without the lock of the upstreams

Cause: go test ./platform with several processors stood still once for ten minutes, and again in the 4th of 60 runs: a store's reader asked, under the lock of the upstreams, whether the instance holds the duty, while the duty asked, under its own lock, whether old weights had expired. Both waited for ever, and with them all requests of the instance. Change: each asks before it takes its lock. The other locks (topics, gossip, duty, upstreams) were read through; no second cycle was found.

--- a/entry/duty/reload.go
+++ b/entry/duty/reload.go
@@ -25,6 +25,7 @@
 
 func (d *Duty) stepModel(ctx context.Context, now time.Time, in *outside.Intent, model string, version int) {
 	engines, replicas := d.engines(now, in, model)
+	expired := d.Upstreams.Expired(now, model, version)
 	d.mu.Lock()
 	if _, ok := d.lease.Token(now); !ok {
 		delete(d.reloads, model)
@@ -41,7 +42,6 @@
 		}
 		d.reloads[model] = r
 	}
-	expired := d.Upstreams.Expired(now, model, version)
 	actions := r.Step(now, version, engines, expired)
 	d.mu.Unlock()
 	for _, a := range actions {
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -93,8 +93,11 @@
 	now := u.Now()
 	synced := false
 	var epoch, last uint64
+	// The holder of the duty is asked without the lock, since it asks for the
+	// state of replicas under a lock of its own.
+	cleans := u.Cleans(now)
 	u.Directory(func(d *directory.Directory) {
-		synced = d.Synced(name) && !(u.Cleans(now) && d.Unfinished(name))
+		synced = d.Synced(name) && !(cleans && d.Unfinished(name))
 		epoch, last = d.Position(name)
 	})
 	age := now.Sub(*listed)
