--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -128,7 +128,8 @@
 	failDelay = 500 * time.Millisecond
 	// unknownDelay is the delay of a service that has not answered yet.
 	unknownDelay = 50 * time.Millisecond
-	// fullSlots and fullMemory are the loads at which a replica is full.
+	// fullSlots and fullMemory are the loads at which a replica is full: what is
+	// sent beyond them waits there, and all that comes after it.
 	fullSlots  = 2.0
 	fullMemory = 1.0
 )
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -32,8 +32,9 @@
 	Tokens int
 	// Reading is the number of prompt tokens that were not yet read.
 	Reading int
-	// Moving is the time that context on its way takes on the replica's link,
-	// which carries one transfer after another.
+	// Moving is the time that transfers of context take on the replica's link, which
+	// carries one after another. They are counted when the replica is chosen, also
+	// if a part is read in place of a transfer after all.
 	Moving time.Duration
 }
 
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -239,7 +239,8 @@
 	Running int
 	Tokens  int
 	Reading int
-	Moving  time.Duration
+	// Moving is the time of the transfers of context that the work waits for.
+	Moving time.Duration
 }
 
 // ReplicaVersion is the weight version of a model at a replica.
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -23,7 +23,7 @@
 	Fenced bool
 	// Version is how long requests may still begin on older weights.
 	Version time.Duration
-	// Contact is the time after a disturbance from which bounds hold again.
+	// Contact is the time after a disruption from which bounds hold again.
 	Contact time.Duration
 	// RetryShare and RetrySlack bound the repeats of all instances together.
 	RetryShare, RetrySlack float64
