Draw replicas with the hash library

Cause: the draw mixed bits by code of its own; the house rule is a known library for all hashes. Ruled out: a generator for each replica, which does the same with more state. Change: xxhash over the draw and the kept hash of the replica's id, without allocation.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"encoding/binary"
 	"sort"
 	"time"
 
@@ -250,8 +251,11 @@
 		score uint64
 		index int
 	}
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], draw)
 	for i, r := range all {
-		score := mix(draw ^ r.hash)
+		binary.LittleEndian.PutUint64(key[8:], r.hash)
+		score := xxhash.Sum64(key[:])
 		for k := range chosen {
 			if score > chosen[k].score {
 				copy(chosen[k+1:], chosen[k:])
@@ -266,13 +270,6 @@
 	return some
 }
 
-// mix spreads the bits of a number, as the last step of SplitMix64 does.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // estimate returns the expected delay of a request at a replica; ok is false if
 // the replica is full.
 func (p *Pool) estimate(now time.Time, req Request, r *replica, usual time.Duration) (seen Seen, ok bool) {
