Log what a request's ends and repeats were counted against

Ruled out: a line for each repeat; the request's own line has the tries already. Change: lines for ends that are counted here or taken over from a peer, the field gave-up on a request's line, tries_again by service, tries_denied, ends_counted. No decision changes.

--- a/core/suspect/deaths.go
+++ b/core/suspect/deaths.go
@@ -26,14 +26,21 @@
 	at time.Time
 }
 
-// Broke notes that an upstream broke off while it ran a content.
-func (d *Deaths) Broke(now time.Time, c Content) { d.raise(now, c, d.count(now, c)+1) }
+// Broke notes that an upstream broke off while it ran a content, and returns the
+// count.
+func (d *Deaths) Broke(now time.Time, c Content) int {
+	n := d.count(now, c) + 1
+	d.raise(now, c, n)
+	return n
+}
 
-// Hear takes the count of another instance.
-func (d *Deaths) Hear(now time.Time, c Content, n int) {
-	if n > d.count(now, c) {
-		d.raise(now, c, n)
+// Hear takes the count of another instance, and reports whether it was higher.
+func (d *Deaths) Hear(now time.Time, c Content, n int) bool {
+	if n <= d.count(now, c) {
+		return false
 	}
+	d.raise(now, c, n)
+	return true
 }
 
 func (d *Deaths) raise(now time.Time, c Content, n int) {
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 	return c
 }
 
+// String is the start of the hash, for the log.
+func (c Content) String() string { return hex.EncodeToString(c[:6]) }
+
 // Standing says how a request may be run.
 type Standing int
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -119,7 +119,8 @@
 		Name: cfg.Name, Bounds: &e.bounds, Log: out.Log, Control: out.Control,
 		Topics: e.topics, Upstreams: e.upstreams, Now: now, Logger: part("duty"),
 	}
-	crashes := &relay.Crashes{}
+	metrics := relay.NewMetrics(scope)
+	crashes := &relay.Crashes{Logger: part("crashes"), Metrics: metrics}
 	e.gossip = &gossip.Gossip{
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
 		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: crashes,
@@ -131,7 +132,7 @@
 	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: relay.NewMetrics(scope), Crashes: crashes,
+		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: crashes,
 	}
 	return e
 }
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -4,14 +4,19 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/entry/message"
 )
 
 // Crashes finds requests that take down each replica that runs them, together
 // with the other instances. The zero value knows none. It is safe for
-// concurrent use.
+// concurrent use. The exported fields must be set before use.
 type Crashes struct {
+	Logger  log.Logger
+	Metrics *Metrics
+
 	mu     sync.Mutex
 	deaths suspect.Deaths
 }
@@ -21,7 +26,10 @@
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	for _, c := range counts {
-		cr.deaths.Hear(now, c.Content, c.Deaths)
+		if cr.deaths.Hear(now, c.Content, c.Deaths) {
+			cr.Metrics.ends.told.Inc(1)
+			_ = cr.Logger.Log("msg", "A peer counted more ends of replicas against a request.", "content", c.Content, "ends", c.Deaths)
+		}
 	}
 }
 
@@ -36,10 +44,11 @@
 	return out
 }
 
-func (cr *Crashes) broke(now time.Time, c suspect.Content) {
+func (cr *Crashes) broke(now time.Time, c suspect.Content) int {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	cr.deaths.Broke(now, c)
+	cr.Metrics.ends.seen.Inc(1)
+	return cr.deaths.Broke(now, c)
 }
 
 func (cr *Crashes) answered(c suspect.Content) {
@@ -65,8 +74,11 @@
 }
 
 // broke counts the request as one that ran when a replica broke off.
-func (c *call) broke(now time.Time) {
-	if id, ok := c.content(); ok {
-		c.relay.Crashes.broke(now, id)
+func (c *call) broke(now time.Time, replica string) {
+	id, ok := c.content()
+	if !ok {
+		return
 	}
+	n := c.relay.Crashes.broke(now, id)
+	_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "Counted an end of a replica against a request.", "replica", replica, "content", id, "ends", n)
 }
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -104,6 +104,10 @@
 	}
 	c.paid = false
 	end, ok := c.tries.Failed(f, c.allowed(), c.relay.Budget.Withdraw).(tries.GiveUp)
+	c.note.gaveUp = end.Why
+	if end.Why == tries.OverBudget {
+		c.relay.Metrics.denied(c.service.Name)
+	}
 	switch {
 	case !ok:
 		return nil
@@ -199,7 +203,7 @@
 		if c.ctx.Err() == nil {
 			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
 			if att.Run() != attempt.NotRun {
-				c.broke(now)
+				c.broke(now, t.ID)
 			}
 			c.relay.Metrics.failed(t.Service, "connection")
 			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
@@ -258,10 +262,15 @@
 		up.With(func(p *pool.Pool) { p.Erred(now, t.ID) })
 		// The failure is the replica's answer, so it is passed on unless another
 		// try is allowed; that try is paid for here.
-		if c.tries.MayRunAgain(c.allowed()) && c.ctx.Err() == nil && c.relay.Budget.Withdraw() {
+		if !c.tries.MayRunAgain(c.allowed()) || c.ctx.Err() != nil {
+			return nil
+		}
+		if c.relay.Budget.Withdraw() {
 			c.paid = true
 			return errErred
 		}
+		c.note.gaveUp = tries.OverBudget
+		c.relay.Metrics.denied(c.service.Name)
 	}
 	return nil
 }
@@ -382,7 +391,7 @@
 		outcome = "timeout"
 	case byReplica:
 		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
-		c.broke(now)
+		c.broke(now, t.ID)
 	}
 	c.note.outcome, c.abort = outcome, true
 }
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -17,11 +17,13 @@
 	mu         sync.Mutex
 	counters   map[labels]tally.Counter
 	histograms map[labels]tally.Histogram
-	retries    tally.Counter
 	fetched    tally.Counter
 	saved      tally.Counter
 	read       tally.Counter
 	cold       tally.Counter
+	// ends counts the ends of replicas that were held against a request, by who
+	// noticed them.
+	ends struct{ seen, told tally.Counter }
 }
 
 // labels tell the series of one metric apart.
@@ -41,11 +43,14 @@
 
 // NewMetrics makes the metrics of a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
-	return &Metrics{
+	m := &Metrics{
 		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{},
-		retries: scope.Counter("tries_again"), fetched: scope.Counter("parts_fetched"), saved: scope.Counter("parts_saved"),
+		fetched: scope.Counter("parts_fetched"), saved: scope.Counter("parts_saved"),
 		read: scope.Counter("parts_read"), cold: scope.Counter("cold_grants"),
 	}
+	m.ends.seen = scope.Tagged(map[string]string{"by": "this-instance"}).Counter("ends_counted")
+	m.ends.told = scope.Tagged(map[string]string{"by": "others"}).Counter("ends_counted")
+	return m
 }
 
 // timeBuckets are the bounds of the histograms.
@@ -77,7 +82,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counter(labels{metric: "requests", kind: kind, class: class(c.account), outcome: c.note.outcome}).Inc(1)
-	m.retries.Inc(int64(max(0, c.note.tries-1)))
+	if c.note.tries > 1 {
+		m.counter(labels{metric: "tries_again", service: c.service.Name}).Inc(int64(c.note.tries - 1))
+	}
 	m.fetched.Inc(int64(c.note.fetched))
 	m.saved.Inc(int64(c.note.saved))
 	m.read.Inc(int64(c.note.parts - c.note.fetched - c.note.saved))
@@ -96,6 +103,13 @@
 	m.counter(labels{metric: "tries_failed", service: service, outcome: how}).Inc(1)
 }
 
+// denied adds a request of a service that was not tried again for lack of budget.
+func (m *Metrics) denied(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "tries_denied", service: service}).Inc(1)
+}
+
 func (m *Metrics) counter(l labels) tally.Counter {
 	c, ok := m.counters[l]
 	if !ok {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -95,6 +95,8 @@
 	seen                      pool.Seen
 	proofAge, firstByte       time.Duration
 	placed                    time.Duration
+	// gaveUp is why the request was not tried again.
+	gaveUp tries.Reason
 }
 
 // ServeHTTP serves one request.
@@ -271,7 +273,7 @@
 		"proof", c.note.proofAge.Round(time.Millisecond), "replica", c.note.replica, "weights", c.note.version, "context", c.note.context,
 		"running", c.note.seen.Running, "fill", strconv.FormatFloat(c.note.seen.Fill, 'f', 2, 64),
 		"unread", c.note.seen.Reading, "expected", c.note.seen.Delay.Round(time.Millisecond), "reading", c.note.reading,
-		"tries", c.note.tries, "outcome", c.note.outcome, "status", c.note.status,
+		"tries", c.note.tries, "gave-up", c.note.gaveUp, "outcome", c.note.outcome, "status", c.note.status,
 		"placed", c.note.placed.Round(time.Millisecond), "first", c.note.firstByte.Round(time.Millisecond),
 		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
 }
