Give each service its own budget of repeats, shared by the known instances

Cause: the bound is one per service and over all instances; the budget was one for all services, so requests to the model replicas paid for repeats at the plain ones; its slack was divided by 12 instances however many there were; and each new process began with a full one. Class: a bound over a scope that is kept in another scope. Change: core/retry.Budgets by service; its slack is divided by the instances that gossip knows, at once if they are more and after two hours if they are fewer; a budget starts with one repeat.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -22,11 +22,15 @@
 	most       float64
 }
 
-// Bound sets the number of retries that may be saved up.
-func (b *Budget) Bound(most float64) {
+// newBudget returns a budget that may save up most retries and starts with first.
+func newBudget(perRequest, most, first float64) *Budget {
+	return &Budget{PerRequest: perRequest, started: true, left: min(first, most), most: most}
+}
+
+// bound sets the number of retries that may be saved up.
+func (b *Budget) bound(most float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.start()
 	b.most = most
 	b.left = min(b.left, most)
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -59,8 +59,6 @@
 	// metricsPort and metricsPath are where the metrics are served.
 	metricsPort = 9464
 	metricsPath = "/metrics"
-	// retryShare is the part of the allowed retries that the instances use.
-	retryShare = 0.8
 )
 
 // Outside is the platform's side of an instance.
@@ -86,7 +84,7 @@
 	duty      *duty.Duty
 	relay     *relay.Relay
 	mesh      *mesh.Mesh
-	budget    *retry.Budget
+	budgets   *retry.Budgets
 	leaving   atomic.Bool
 	conns     atomic.Int64
 
@@ -128,11 +126,11 @@
 	e.topics.OnInstances, e.topics.Reads = e.gossip.TakeInstances, e.gossip.Reads
 	e.upstreams.Cleans = e.duty.Holds
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
-	e.budget = &retry.Budget{PerRequest: max(cfg.Bounds.RetryShare*retryShare, 0.001)}
-	e.budget.Bound(max(1, cfg.Bounds.RetrySlack*retryShare/assumedMembers))
+	e.budgets = &retry.Budgets{Share: cfg.Bounds.RetryShare, Slack: cfg.Bounds.RetrySlack}
+	e.gossip.OnMembers = e.budgets.SetMembers
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budget: e.budget, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: crashes,
+		Budgets: e.budgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: crashes,
 	}
 	return e
 }
@@ -148,7 +146,6 @@
 	proof := scope.Gauge("proof_age_seconds")
 	holder := scope.Gauge("duty_held")
 	inFlight := scope.Gauge("in_flight")
-	retries := scope.Gauge("retries_left")
 	e.gauges = func(now time.Time) {
 		if age, ok := e.topics.ProofAge(now); ok {
 			proof.Update(age.Seconds())
@@ -159,7 +156,9 @@
 		}
 		holder.Update(held)
 		inFlight.Update(float64(e.relay.InFlight()))
-		retries.Update(e.budget.Left())
+		for service, left := range e.budgets.Left() {
+			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
+		}
 	}
 	return scope
 }
@@ -178,9 +177,6 @@
 		"addresses-changed", cfg.Front != e.cfg.Front || cfg.Ready != e.cfg.Ready || cfg.Peers != e.cfg.Peers)
 }
 
-// assumedMembers is the number of instances that share the slack of retries.
-const assumedMembers = 12
-
 // Run serves until ctx ends, then stops gracefully.
 func (e *Edge) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -49,6 +49,8 @@
 	// Duty is this instance's part in the duties; it names the replicas that get
 	// no new work.
 	Duty Duty
+	// OnMembers takes the number of instances that share limits.
+	OnMembers func(now time.Time, n int)
 	// Crashes is what is told and heard of requests that take down replicas.
 	Crashes Crashes
 
@@ -212,6 +214,7 @@
 		out = append(out, p)
 	}
 	g.Upstreams.SetMembers(members)
+	g.OnMembers(now, members)
 	return out
 }
 
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -103,7 +103,7 @@
 		Run: run, Reached: run != attempt.NotRun || errors.Is(err, errRefused), Expired: c.ctx.Err() != nil, Paid: c.paid,
 	}
 	c.paid = false
-	end, ok := c.tries.Failed(f, c.allowed(), c.relay.Budget.Withdraw).(tries.GiveUp)
+	end, ok := c.tries.Failed(f, c.allowed(), c.budget.Withdraw).(tries.GiveUp)
 	c.note.gaveUp = end.Why
 	if end.Why == tries.OverBudget {
 		c.relay.Metrics.denied(c.service.Name)
@@ -265,7 +265,7 @@
 		if !c.tries.MayRunAgain(c.allowed()) || c.ctx.Err() != nil {
 			return nil
 		}
-		if c.relay.Budget.Withdraw() {
+		if c.budget.Withdraw() {
 			c.paid = true
 			return errErred
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -46,7 +46,7 @@
 	Dialect   outside.Dialect
 	Topics    *topics.Topics
 	Upstreams *upstreams.Upstreams
-	Budget    *retry.Budget
+	Budgets   *retry.Budgets
 	Now       func() time.Time
 	Logger    log.Logger
 	Metrics   *Metrics
@@ -75,6 +75,8 @@
 	ask     outside.Ask
 	body    []byte
 	service route.Service
+	// budget pays for the repeats of the service's requests.
+	budget *retry.Budget
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	tried    map[string]bool
@@ -156,7 +158,8 @@
 	if limit := c.began.Add(c.route.Timeout); c.route.Timeout > 0 && limit.Before(c.deadline) {
 		c.deadline = limit
 	}
-	rl.Budget.Deposit()
+	c.budget = rl.Budgets.Service(c.service.Name)
+	c.budget.Deposit()
 	return nil
 }
 
