Merge the ends of replicas as a set, and keep them on the platform

What callers and operators saw: a request under which three replicas had ended went on to others through instances that had not seen the ends, three more for each. Cause: each instance counted for itself. Counts of several instances were merged by the larger, so ends noticed between two exchanges got lost; they were told for 3 s, so an instance that started, or was cut off or frozen, later heard nothing; they lived in memory alone. And one answer cleared all, even one that had begun before the ends. Class: shared state without a merge that adds up and without a place that outlives its holders. Change: core/poison keeps for each request a set of ends, named so that an end is the same one whoever noticed it; instances merge the sets. A peer is told all that it has not confirmed, and all if its process is a new one. Requests that were there at two ends or more are written to the platform's topic of instances, which each instance reads already, and outlive all of them. A success clears the ends before it began. The first bar is one to two minutes as before, longer after each further end (10 min, 2 h, 24 h), spread differently at each instance. Ruled out: a record on the platform for each end; one replica takes many requests with it, and nearly all are innocent. Waiting for all peers before the caller is answered; a dead peer would hold answers back.

--- /dev/null
+++ b/core/poison/poison.go
@@ -0,0 +1,271 @@
+// Package poison finds requests that take down each replica that runs them, and
+// keeps them from further ones. What instances know is merged without an order:
+// an end of a replica counts once, whoever tells of it and however often.
+package poison
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocusfold.dev/core/suspect"
+)
+
+// Bounds of what is kept.
+const (
+	// mostEnds is the number of replicas that a request may take down.
+	mostEnds = 3
+	// endLife is how long the ends count of a request that is not barred.
+	endLife = 2 * time.Minute
+	// barredLife is how long they count of one that is; it is longer than any bar.
+	barredLife = 48 * time.Hour
+	// maxRecords bounds the requests that are kept.
+	maxRecords = 2000
+	// maxKept bounds the requests in the record for the platform.
+	maxKept = 200
+)
+
+// bars has how long a request is barred after its last end, by the number of
+// ends from mostEnds on. An innocent request is not barred for long, and a guilty one
+// takes down few more replicas.
+var bars = [...]time.Duration{time.Minute, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour}
+
+// Run is one run of a request at a replica.
+type Run struct {
+	Content suspect.Content
+	// Replica and Incarnation name the replica, Began is when the run was sent.
+	Replica     string
+	Incarnation int64
+	Began       time.Time
+}
+
+// End is one end of a replica that ran a request.
+type End struct {
+	// ID is the same at all instances that noticed the end.
+	ID uint64
+	At time.Time
+}
+
+// Record is what is known of one request.
+type Record struct {
+	Content suspect.Content
+	Ends    []End
+	// Cleared is the start of the last run that was answered with success; zero if
+	// there was none. Ends before it don't count.
+	Cleared time.Time
+}
+
+// Register holds the ends of all requests. The zero value is empty. It is not
+// safe for concurrent use.
+type Register struct {
+	// Seed differs between instances, so that their bars don't end together.
+	Seed    uint64
+	records map[suspect.Content]*record
+}
+
+type record struct {
+	Record
+	// changed is when the record last changed here, and noticed is true if that
+	// was ever by a run of this instance.
+	changed time.Time
+	noticed bool
+}
+
+// Ends returns the number of ends of a content.
+func (g *Register) Ends(c suspect.Content) int {
+	if rec, ok := g.records[c]; ok {
+		return len(rec.Ends)
+	}
+	return 0
+}
+
+// Empty reports whether no request is known.
+func (g *Register) Empty() bool { return len(g.records) == 0 }
+
+// Ended notes that a run ended with its replica.
+func (g *Register) Ended(now time.Time, r Run) {
+	rec := g.record(now, r.Content)
+	for round := uint64(0); ; round++ {
+		id := endID(r, round)
+		at, known := rec.end(id)
+		if known && at.Before(r.Began) {
+			// The replica ended before, under the same incarnation as far as is known.
+			continue
+		}
+		if !known {
+			rec.Ends = append(rec.Ends, End{id, now})
+			rec.changed, rec.noticed = now, true
+		}
+		return
+	}
+}
+
+// endID names an end of a replica's incarnation; rounds tell the ends of one
+// apart whose restart is not known yet.
+func endID(r Run, round uint64) uint64 {
+	text := binary.BigEndian.AppendUint64([]byte(r.Replica), uint64(r.Incarnation))
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, round))
+}
+
+// Succeeded notes a run that was answered with success. Ends since it began
+// still count.
+func (g *Register) Succeeded(now time.Time, c suspect.Content, began time.Time) {
+	rec, ok := g.records[c]
+	if !ok || !rec.clear(began) {
+		return
+	}
+	rec.changed, rec.noticed = now, true
+}
+
+// Barred returns until when a content must not run; ok is false if it may.
+func (g *Register) Barred(now time.Time, c suspect.Content) (until time.Time, ok bool) {
+	rec, known := g.records[c]
+	if !known || len(rec.Ends) < mostEnds || rec.expired(now) {
+		return time.Time{}, false
+	}
+	bar := bars[min(len(rec.Ends)-mostEnds, len(bars)-1)]
+	until = rec.last().Add(bar + time.Duration(g.spread(c)*float64(bar)))
+	return until, now.Before(until)
+}
+
+// spread is between 0 and 1, differently for each instance and content.
+func (g *Register) spread(c suspect.Content) float64 {
+	sum := xxhash.Sum64(binary.BigEndian.AppendUint64(c[:], g.Seed))
+	return float64(sum>>11) / (1 << 53)
+}
+
+// Hear merges what another instance knows, and reports whether it was new.
+func (g *Register) Hear(now time.Time, heard Record) bool {
+	rec := g.record(now, heard.Content)
+	changed := false
+	for _, e := range heard.Ends {
+		if _, known := rec.end(e.ID); !known && e.At.After(rec.Cleared) {
+			rec.Ends = append(rec.Ends, e)
+			changed = true
+		}
+	}
+	if rec.clear(heard.Cleared) {
+		changed = true
+	}
+	switch {
+	case changed:
+		rec.changed = now
+	case len(rec.Ends) == 0 && rec.Cleared.IsZero():
+		delete(g.records, heard.Content)
+	}
+	return changed
+}
+
+// Since returns the records for a peer that heard all up to a moment. One end
+// alone is told only by the instance that noticed it, since many requests end
+// with a replica.
+func (g *Register) Since(now, moment time.Time) []Record {
+	var out []Record
+	for _, rec := range g.records {
+		if !rec.changed.Before(moment) && (rec.noticed || len(rec.Ends) > 1) && !rec.expired(now) {
+			out = append(out, rec.copy())
+		}
+	}
+	return out
+}
+
+// Kept returns the records that must outlive all instances: those of requests
+// that were there at more than one end.
+func (g *Register) Kept(now time.Time) []Record {
+	var out []Record
+	for _, rec := range g.records {
+		if len(rec.Ends) > 1 && !rec.expired(now) && len(out) < maxKept {
+			out = append(out, rec.copy())
+		}
+	}
+	return out
+}
+
+// record returns the record of a content, and makes room for a new one.
+func (g *Register) record(now time.Time, c suspect.Content) *record {
+	rec, ok := g.records[c]
+	if ok && !rec.expired(now) {
+		return rec
+	}
+	if g.records == nil {
+		g.records = map[suspect.Content]*record{}
+	}
+	if !ok && len(g.records) >= maxRecords {
+		g.makeRoom(now)
+	}
+	rec = &record{Record: Record{Content: c}, changed: now}
+	g.records[c] = rec
+	return rec
+}
+
+// makeRoom drops what is over, or else the oldest record of those with the
+// fewest ends.
+func (g *Register) makeRoom(now time.Time) {
+	var least *record
+	for c, rec := range g.records {
+		switch {
+		case rec.expired(now):
+			delete(g.records, c)
+		case least == nil || len(rec.Ends) < len(least.Ends) || len(rec.Ends) == len(least.Ends) && rec.changed.Before(least.changed):
+			least = rec
+		}
+	}
+	if len(g.records) >= maxRecords {
+		delete(g.records, least.Content)
+	}
+}
+
+func (r *record) end(id uint64) (at time.Time, known bool) {
+	for _, e := range r.Ends {
+		if e.ID == id {
+			return e.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// last is the time of the newest end.
+func (r *record) last() time.Time {
+	var last time.Time
+	for _, e := range r.Ends {
+		if e.At.After(last) {
+			last = e.At
+		}
+	}
+	return last
+}
+
+// clear drops the ends up to a moment, and reports whether that is news.
+func (r *record) clear(moment time.Time) bool {
+	if !moment.After(r.Cleared) {
+		return false
+	}
+	r.Cleared = moment
+	kept := r.Ends[:0:0]
+	for _, e := range r.Ends {
+		if e.At.After(moment) {
+			kept = append(kept, e)
+		}
+	}
+	r.Ends = kept
+	return true
+}
+
+func (r *record) expired(now time.Time) bool {
+	life := endLife
+	if len(r.Ends) >= mostEnds {
+		life = barredLife
+	}
+	newest := r.last()
+	if r.Cleared.After(newest) {
+		newest = r.Cleared
+	}
+	return !newest.IsZero() && now.Sub(newest) > life
+}
+
+func (r *record) copy() Record {
+	out := r.Record
+	out.Ends = append([]End(nil), r.Ends...)
+	return out
+}
--- /dev/null
+++ b/core/poison/poison_test.go
@@ -0,0 +1,107 @@
+package poison
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusfold.dev/core/suspect"
+	"crocusfold.dev/script"
+)
+
+func at(sec string) time.Time {
+	n, _ := strconv.ParseInt(sec, 10, 64)
+	return time.Unix(1000+n, 0)
+}
+
+func content(s string) suspect.Content { return suspect.NewContent([]byte(s)) }
+
+// heard reads "r1@0" as the end of r1 in second 0, and "cleared@5".
+func heard(c string, args []string) Record {
+	rec := Record{Content: content(c)}
+	for _, arg := range args {
+		name, sec, _ := strings.Cut(arg, "@")
+		if name == "cleared" {
+			rec.Cleared = at(sec)
+			continue
+		}
+		rec.Ends = append(rec.Ends, End{endID(Run{Replica: name}, 0), at(sec)})
+	}
+	return rec
+}
+
+func show(records []Record) []string {
+	names := map[suspect.Content]string{content("a"): "a", content("b"): "b"}
+	var out []string
+	for _, rec := range records {
+		out = append(out, fmt.Sprintf("%s %d", names[rec.Content], len(rec.Ends)))
+	}
+	sort.Strings(out)
+	return out
+}
+
+// TestRegister: times are in seconds, see the first lines of the script.
+func TestRegister(t *testing.T) {
+	script.Run(t, "testdata/register.txt", func(*testing.T) func([]string) []string {
+		g := &Register{Seed: 1}
+		return func(args []string) []string { return do(g, args) }
+	})
+}
+
+func do(g *Register, args []string) []string {
+	switch args[0] {
+	case "ended":
+		g.Ended(at(args[1]), Run{Content: content(args[2]), Replica: args[3], Began: at(args[4])})
+	case "succeeded":
+		g.Succeeded(at(args[1]), content(args[2]), at(args[3]))
+	case "hear":
+		g.Hear(at(args[1]), heard(args[2], args[3:]))
+	case "barred":
+		_, barred := g.Barred(at(args[1]), content(args[2]))
+		return []string{strconv.FormatBool(barred)}
+	case "ends":
+		return []string{strconv.Itoa(g.Ends(content(args[1])))}
+	case "told":
+		return show(g.Since(at(args[1]), at(args[1])))
+	case "kept":
+		return show(g.Kept(at(args[1])))
+	case "flood":
+		n, _ := strconv.Atoi(args[2])
+		for i := range n {
+			g.Ended(at(args[1]), Run{Content: content("flood" + strconv.Itoa(i)), Replica: "r1", Began: at(args[1])})
+		}
+	}
+	return nil
+}
+
+// TestMergeHasNoOrder lets instances notice ends and tell each other in any
+// order; in the end all know the same.
+func TestMergeHasNoOrder(t *testing.T) {
+	ends := []Run{
+		{Content: content("a"), Replica: "r1", Began: at("0")}, {Content: content("a"), Replica: "r2", Began: at("0")},
+		{Content: content("a"), Replica: "r3", Began: at("0")}, {Content: content("a"), Replica: "r1", Began: at("0")},
+	}
+	for first := range ends {
+		instances := make([]Register, len(ends))
+		for i := range ends {
+			instances[i].Ended(at("1"), ends[(first+i)%len(ends)])
+		}
+		for range 2 {
+			for i := range instances {
+				for j := range instances {
+					for _, rec := range instances[i].Since(at("2"), time.Time{}) {
+						instances[j].Hear(at("2"), rec)
+					}
+				}
+			}
+		}
+		for i := range instances {
+			if got := show(instances[i].Since(at("2"), time.Time{})); len(got) != 1 || got[0] != "a 3" {
+				t.Errorf("first %d: instance %d knows %v", first, i, got)
+			}
+		}
+	}
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -10,15 +10,18 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/entry/duty"
@@ -83,6 +86,7 @@
 	gossip    *gossip.Gossip
 	duty      *duty.Duty
 	relay     *relay.Relay
+	crashes   *relay.Crashes
 	mesh      *mesh.Mesh
 	budgets   *retry.Budgets
 	leaving   atomic.Bool
@@ -118,19 +122,24 @@
 		Topics: e.topics, Upstreams: e.upstreams, Now: now, Logger: part("duty"),
 	}
 	metrics := relay.NewMetrics(scope)
-	crashes := &relay.Crashes{Logger: part("crashes"), Metrics: metrics}
+	e.crashes = relay.NewCrashes(xxhash.Sum64String(cfg.Name))
+	e.crashes.Logger, e.crashes.Metrics, e.crashes.Now = part("crashes"), metrics, now
+	e.crashes.Put = func(ctx context.Context, value []byte) error {
+		return out.Log.Put(ctx, relay.EndsPrefix+cfg.Name, value)
+	}
 	e.gossip = &gossip.Gossip{
 		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
-		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: crashes,
+		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: e.crashes,
 	}
-	e.topics.OnInstances, e.topics.Reads = e.gossip.TakeInstances, e.gossip.Reads
+	e.topics.OnInstances, e.topics.Reads = e.takeInstances, e.gossip.Reads
+	e.crashes.Nudge = e.gossip.Nudge
 	e.upstreams.Cleans = e.duty.Holds
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
 	e.budgets = &retry.Budgets{Share: cfg.Bounds.RetryShare, Slack: cfg.Bounds.RetrySlack}
 	e.gossip.OnMembers = e.budgets.SetMembers
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
-		Budgets: e.budgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: crashes,
+		Budgets: e.budgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
 	}
 	return e
 }
@@ -213,6 +222,7 @@
 	wg.Go(func() { e.duty.Run(work) })
 	wg.Go(func() { e.upstreams.FollowStores(work, e.out.Control) })
 	wg.Go(func() { e.announce(work) })
+	wg.Go(func() { e.crashes.Run(work) })
 	_ = e.logger.Log("msg", "The instance serves.", "front", e.cfg.Front, "data-centre", e.cfg.DataCentre)
 	select {
 	case err := <-errs:
@@ -255,6 +265,21 @@
 	}
 }
 
+// takeInstances takes changes of the topic of instances, which has their own
+// records and those with ends of replicas.
+func (e *Edge) takeInstances(changed []feed.Record) {
+	var members, ends []feed.Record
+	for _, rec := range changed {
+		if strings.HasPrefix(rec.Key, relay.EndsPrefix) {
+			ends = append(ends, rec)
+		} else {
+			members = append(members, rec)
+		}
+	}
+	e.gossip.TakeInstances(members)
+	e.crashes.TakeRecords(e.now(), time.Now(), ends)
+}
+
 func (e *Edge) countConns(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	// toldKnown is when the known instances were last told.
 	toldKnown time.Time
 	nudge     chan struct{}
+	start     uint64
 }
 
 // Duty is what is told and heard of the duties.
@@ -77,8 +79,9 @@
 
 // Crashes is what is told and heard of requests that take down replicas.
 type Crashes interface {
-	Hear(now time.Time, counts []message.ContentDeaths)
-	Tell(now time.Time) []message.ContentDeaths
+	Hear(now time.Time, told []message.ContentEnds)
+	// Tell returns what changed since a moment.
+	Tell(now, since time.Time) []message.ContentEnds
 }
 
 type peer struct {
@@ -90,6 +93,12 @@
 	busy   bool
 	// fetches is what the peer last told of the context that it may fetch.
 	fetches []message.ModelVersion
+	// start is the peer's process, and synced the moment up to which it was told
+	// what this instance knows of requests that take down replicas.
+	start  uint64
+	synced time.Time
+	// again asks for an exchange right after the one that is running.
+	again bool
 	// holder and reaches are what it last told of the duties and the log.
 	holder, reaches bool
 }
@@ -97,13 +106,14 @@
 // Attach answers the exchanges of peers.
 func (g *Gossip) Attach() {
 	g.nudge = make(chan struct{}, 1)
+	g.start = rand.Uint64()
 	g.peers = map[netip.AddrPort]*peer{}
 	g.Mesh.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		now := g.Now()
 		switch m := msg.(type) {
 		case message.Gossip:
 			g.hear(now, m)
-			return g.state(now), true, nil
+			return g.state(now, g.toldUpTo(m.Address)), true, nil
 		case message.ViewAsk:
 			c, _ := g.Topics.Copy(now, outside.Topic(m.Topic))
 			return c, true, nil
@@ -207,6 +217,9 @@
 			continue
 		}
 		members++
+		if p.busy && all {
+			p.again = true
+		}
 		if p.busy || !all && now.Before(p.next) {
 			continue
 		}
@@ -223,15 +236,19 @@
 	defer cancel()
 	sent := g.Now()
 	g.mu.Lock()
-	to := p.Member
+	to, since, start := p.Member, p.synced, p.start
 	g.mu.Unlock()
-	ans, err := mesh.Ask[message.Gossip](ctx, g.Mesh, to, g.state(sent))
+	ans, err := mesh.Ask[message.Gossip](ctx, g.Mesh, to, g.state(sent, since))
 	now := g.Now()
 	g.note(now, p, err)
 	if err != nil {
 		return
 	}
 	g.hear(now, ans)
+	// A process that has just taken the peer's place was told only the news.
+	if ans.Start == start {
+		g.noteTold(p, start, sent)
+	}
 	for _, topic := range g.Topics.Hear(now, sent, ans.Views, g.isReader(now, to.Name)) {
 		g.pull(ctx, to, topic)
 	}
@@ -258,6 +275,9 @@
 			_ = g.Logger.Log("msg", "A peer answers again.", "peer", p.Name)
 		}
 		p.failed, p.heard, p.next = 0, now, now.Add(every)
+		if p.again {
+			p.again, p.next = false, now
+		}
 		return
 	}
 	if p.failed == 0 {
@@ -280,6 +300,9 @@
 	released := false
 	g.mu.Lock()
 	if p, ok := g.peers[m.Address]; ok {
+		if p.start != m.Start {
+			p.start, p.synced = m.Start, time.Time{}
+		}
 		p.fetches, p.reaches = m.Fetches, m.Reaches
 		released = p.holder && !m.Holder
 		p.holder = m.Holder
@@ -294,7 +317,7 @@
 	case m.HolderAge >= 0:
 		g.Duty.HolderElsewhere(now.Add(-m.HolderAge), nil)
 	}
-	g.Crashes.Hear(now, m.Deaths)
+	g.Crashes.Hear(now, m.Ends)
 	g.Upstreams.Hear(now, m)
 }
 
@@ -355,12 +378,32 @@
 	return rank, 2*answer >= len(g.peers)
 }
 
-func (g *Gossip) state(now time.Time) message.Gossip {
+// toldUpTo returns the moment up to which a peer was told all.
+func (g *Gossip) toldUpTo(address netip.AddrPort) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.peers[address]; ok {
+		return p.synced
+	}
+	return time.Time{}
+}
+
+// noteTold notes that a peer's process was told all up to a moment.
+func (g *Gossip) noteTold(p *peer, start uint64, upTo time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.start == start {
+		p.synced = upTo
+	}
+}
+
+// state tells a peer that was told of ends up to a moment.
+func (g *Gossip) state(now, toldUpTo time.Time) message.Gossip {
 	out, ordered := g.Duty.Out()
 	m := message.Gossip{
 		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
 		Views: g.Topics.Views(now), Out: out, Ordered: ordered,
-		Holder: g.Duty.Holds(now), HolderAge: -1, Reaches: g.Topics.Reaches(now), Deaths: g.Crashes.Tell(now),
+		Holder: g.Duty.Holds(now), HolderAge: -1, Reaches: g.Topics.Reaches(now), Start: g.start, Ends: g.Crashes.Tell(now, toldUpTo),
 	}
 	if age, ok := g.Duty.HolderSeen(now); ok && !m.Holder {
 		m.HolderAge = age
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -218,8 +218,10 @@
 	// Named has the newest weight version of each model, and how long ago it was
 	// named.
 	Named []NamedVersion `json:"named"`
-	// Deaths has contents that were running when several upstreams broke off.
-	Deaths []ContentDeaths `json:"deaths"`
+	// Start differs between the processes that an instance had.
+	Start uint64 `json:"start"`
+	// Ends has the requests that were running when replicas ended.
+	Ends []ContentEnds `json:"ends"`
 	// Known lists the instances that the sender knows.
 	Known []roster.Member `json:"known"`
 }
@@ -259,11 +261,22 @@
 	Age     time.Duration
 }
 
-// ContentDeaths counts the upstreams that broke off while they ran a content.
-type ContentDeaths struct {
+// ContentEnds has the ends of replicas that ran a content.
+type ContentEnds struct {
 	_       struct{} `cbor:",toarray"`
 	Content suspect.Content
-	Deaths  int
+	Ends    []ReplicaEnd
+	// ClearedAge is how long ago the last run began that was answered with success;
+	// negative if there was none.
+	ClearedAge time.Duration
+}
+
+// ReplicaEnd is one end of a replica.
+type ReplicaEnd struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the same at all instances that noticed the end.
+	ID  uint64
+	Age time.Duration
 }
 
 // ModelVersion is a weight version of a model.
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -1,84 +1,248 @@
 package relay
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/poison"
 	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/upstreams"
+	"crocusfold.dev/shell/clock"
+)
+
+// EndsPrefix begins the keys of the records with ends in the topic of instances.
+const EndsPrefix = "ends/"
+
+// Times of writing the record with ends.
+const (
+	// keepAfter collects the ends of one moment in one write.
+	keepAfter = 100 * time.Millisecond
+	// keepEvery is the least pause between two writes, also after a failed one.
+	keepEvery = time.Second
 )
 
 // Crashes finds requests that take down each replica that runs them, together
-// with the other instances. The zero value knows none. It is safe for
-// concurrent use. The exported fields must be set before use.
+// with the other instances. What it knows of requests with more than one end is
+// kept on the platform, so that it outlives all instances. The exported fields
+// must be set before use. It is safe for concurrent use.
 type Crashes struct {
 	Logger  log.Logger
 	Metrics *Metrics
+	Now     func() time.Time
+	// Nudge tells the other instances at once.
+	Nudge func()
+	// Put writes this instance's record, under its key.
+	Put func(ctx context.Context, value []byte) error
 
-	mu     sync.Mutex
-	deaths suspect.Deaths
+	mu       sync.Mutex
+	register poison.Register
+	// loaded is true once the records of earlier processes were read.
+	loaded bool
+	// unkept is signalled when there is something to write.
+	unkept chan struct{}
 }
 
-// Hear takes the counts of another instance.
-func (cr *Crashes) Hear(now time.Time, counts []message.ContentDeaths) {
-	cr.mu.Lock()
-	defer cr.mu.Unlock()
-	for _, c := range counts {
-		if cr.deaths.Hear(now, c.Content, c.Deaths) {
-			cr.Metrics.ends.told.Inc(1)
-			_ = cr.Logger.Log("msg", "A peer counted more ends of replicas against a request.", "content", c.Content, "ends", c.Deaths)
+// NewCrashes returns a list that is empty. The seed should differ between
+// instances.
+func NewCrashes(seed uint64) *Crashes {
+	return &Crashes{register: poison.Register{Seed: seed}, unkept: make(chan struct{}, 1)}
+}
+
+// Hear takes what another instance knows.
+func (cr *Crashes) Hear(now time.Time, told []message.ContentEnds) {
+	for _, c := range told {
+		rec := poison.Record{Content: c.Content}
+		for _, e := range c.Ends {
+			rec.Ends = append(rec.Ends, poison.End{ID: e.ID, At: now.Add(-e.Age)})
 		}
+		if c.ClearedAge >= 0 {
+			rec.Cleared = now.Add(-c.ClearedAge)
+		}
+		cr.hear(now, rec, "peer")
+	}
+}
+
+func (cr *Crashes) hear(now time.Time, rec poison.Record, from string) {
+	cr.mu.Lock()
+	news := cr.register.Hear(now, rec)
+	until, barred := cr.register.Barred(now, rec.Content)
+	cr.mu.Unlock()
+	if !news {
+		return
+	}
+	cr.Metrics.ends.told.Inc(1)
+	if barred {
+		_ = cr.Logger.Log("msg", "A request that takes down replicas is barred.", "content", rec.Content, "told-by", from, "for", until.Sub(now).Round(time.Second))
 	}
 }
 
-// Tell returns the counts for other instances.
-func (cr *Crashes) Tell(now time.Time) []message.ContentDeaths {
+// Tell returns what changed since a moment, for other instances.
+func (cr *Crashes) Tell(now, since time.Time) []message.ContentEnds {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	var out []message.ContentDeaths
-	for c, n := range cr.deaths.Told(now) {
-		out = append(out, message.ContentDeaths{Content: c, Deaths: n})
+	var out []message.ContentEnds
+	for _, rec := range cr.register.Since(now, since) {
+		c := message.ContentEnds{Content: rec.Content, ClearedAge: -1}
+		for _, e := range rec.Ends {
+			c.Ends = append(c.Ends, message.ReplicaEnd{ID: e.ID, Age: now.Sub(e.At)})
+		}
+		if !rec.Cleared.IsZero() {
+			c.ClearedAge = now.Sub(rec.Cleared)
+		}
+		out = append(out, c)
 	}
 	return out
 }
 
-func (cr *Crashes) broke(now time.Time, c suspect.Content) int {
+// ended notes that a run ended with its replica.
+func (cr *Crashes) ended(now time.Time, run poison.Run, id string) {
 	cr.mu.Lock()
-	defer cr.mu.Unlock()
+	cr.register.Ended(now, run)
+	ends := cr.register.Ends(run.Content)
+	until, barred := cr.register.Barred(now, run.Content)
+	cr.mu.Unlock()
 	cr.Metrics.ends.seen.Inc(1)
-	return cr.deaths.Broke(now, c)
+	_ = cr.Logger.Log("id", id, "msg", "Counted an end of a replica against a request.", "replica", run.Replica,
+		"incarnation", run.Incarnation, "content", run.Content, "ends", ends)
+	if barred {
+		_ = cr.Logger.Log("msg", "A request that takes down replicas is barred.", "content", run.Content, "told-by", "", "for", until.Sub(now).Round(time.Second))
+	}
+	if ends > 1 {
+		cr.keep()
+		cr.Nudge()
+	}
 }
 
-func (cr *Crashes) answered(c suspect.Content) {
+func (cr *Crashes) succeeded(now time.Time, c suspect.Content, began time.Time) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	cr.deaths.Answered(c)
+	cr.register.Succeeded(now, c, began)
 }
 
-func (cr *Crashes) barred(now time.Time, c suspect.Content) bool {
+func (cr *Crashes) empty() bool {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	return cr.deaths.Barred(now, c)
+	return cr.register.Empty()
 }
 
-// content identifies what the request asks for, whoever sends it under whatever
-// id. Requests without a body can't be told apart, so they have none.
-func (c *call) content() (suspect.Content, bool) {
-	if len(c.body) == 0 {
-		return suspect.Content{}, false
+// barred returns for how long a content may not run.
+func (cr *Crashes) barred(now time.Time, c suspect.Content) (time.Duration, bool) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	until, barred := cr.register.Barred(now, c)
+	return until.Sub(now), barred
+}
+
+// keptRecord is the record on the platform. Its times are of the wall clock,
+// which may be off by seconds; what is counted there lasts for minutes.
+type keptRecord struct {
+	Contents []keptContent `json:"contents"`
+}
+
+type keptContent struct {
+	Content suspect.Content `json:"content"`
+	Ends    []keptEnd       `json:"ends"`
+}
+
+type keptEnd struct {
+	ID uint64    `json:"id"`
+	At time.Time `json:"at"`
+}
+
+// TakeRecords takes what instances, also earlier ones, kept on the platform.
+func (cr *Crashes) TakeRecords(now, wall time.Time, records []feed.Record) {
+	for _, kept := range records {
+		if len(kept.Value) == 0 {
+			continue
+		}
+		var k keptRecord
+		if err := json.Unmarshal(kept.Value, &k); err != nil {
+			_ = cr.Logger.Log("msg", "Ignored a record with ends.", "key", kept.Key, "err", err)
+			continue
+		}
+		for _, c := range k.Contents {
+			rec := poison.Record{Content: c.Content}
+			for _, e := range c.Ends {
+				rec.Ends = append(rec.Ends, poison.End{ID: e.ID, At: now.Add(-max(0, wall.Sub(e.At)))})
+			}
+			cr.hear(now, rec, "platform")
+		}
+	}
+	cr.mu.Lock()
+	cr.loaded = true
+	cr.mu.Unlock()
+}
+
+// keep asks for a write of the record.
+func (cr *Crashes) keep() {
+	select {
+	case cr.unkept <- struct{}{}:
+	default:
 	}
-	text := append([]byte(c.account.Name+"\x00"+c.r.RequestURI+"\x00"), c.body...)
-	return suspect.NewContent(text), true
 }
 
-// broke counts the request as one that ran when a replica broke off.
-func (c *call) broke(now time.Time, replica string) {
-	id, ok := c.content()
-	if !ok {
-		return
+// Run writes the record when there is news, until ctx ends.
+func (cr *Crashes) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cr.unkept:
+		}
+		clock.Pause(ctx, keepAfter)
+		if err := cr.write(ctx); err != nil && ctx.Err() == nil {
+			_ = cr.Logger.Log("msg", "The record with ends is not written yet.", "err", err)
+			cr.keep()
+		}
+		clock.Pause(ctx, keepEvery)
 	}
-	n := c.relay.Crashes.broke(now, id)
-	_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "Counted an end of a replica against a request.", "replica", replica, "content", id, "ends", n)
+}
+
+// write puts all that must outlive the instances into this instance's record.
+func (cr *Crashes) write(ctx context.Context) error {
+	now, wall := cr.Now(), time.Now()
+	cr.mu.Lock()
+	loaded, records := cr.loaded, cr.register.Kept(now)
+	cr.mu.Unlock()
+	if !loaded {
+		return fmt.Errorf("writing the record with ends: what earlier processes kept is not read yet")
+	}
+	var k keptRecord
+	for _, rec := range records {
+		c := keptContent{Content: rec.Content}
+		for _, e := range rec.Ends {
+			c.Ends = append(c.Ends, keptEnd{e.ID, wall.Add(-now.Sub(e.At))})
+		}
+		k.Contents = append(k.Contents, c)
+	}
+	raw, err := json.Marshal(k)
+	if err != nil {
+		return fmt.Errorf("encoding the record with ends: %w", err)
+	}
+	if err := cr.Put(ctx, raw); err != nil {
+		return fmt.Errorf("writing the record with ends: %w", err)
+	}
+	return nil
+}
+
+// content identifies what the request asks for, whoever sends it under whatever
+// id. Requests without a body can't be told apart, so they aren't counted.
+func (c *call) content() suspect.Content {
+	if c.contentID == (suspect.Content{}) {
+		text := append([]byte(c.account.Name+"\x00"+c.r.Method+"\x00"+c.r.RequestURI+"\x00"), c.body...)
+		c.contentID = suspect.NewContent(text)
+	}
+	return c.contentID
+}
+
+// run describes the run of the request at a replica.
+func (c *call) run(t *upstreams.Ticket, began time.Time) poison.Run {
+	return poison.Run{Content: c.content(), Replica: t.ID, Incarnation: t.Incarnation, Began: began}
 }
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -195,16 +195,17 @@
 func (c *call) try(t *upstreams.Ticket) (done bool, run attempt.Run, err error) {
 	up := c.relay.Upstreams
 	att := &attempt.Attempt{}
+	began := c.relay.Now()
 	resp, err := t.Transport.RoundTrip(c.request(guard.With(c.ctx, att), t))
 	now := c.relay.Now()
 	if err != nil {
 		// No write may follow what is said of the request from here on.
 		att.Revoke()
 		if c.ctx.Err() == nil {
-			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
-			if att.Run() != attempt.NotRun {
-				c.broke(now, t.ID)
+			if att.Run() != attempt.NotRun && len(c.body) > 0 {
+				c.relay.Crashes.ended(now, c.run(t, began), c.ask.ID)
 			}
+			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
 			c.relay.Metrics.failed(t.Service, "connection")
 			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
 		}
@@ -224,7 +225,7 @@
 	}
 	up.FirstAnswer(now, t)
 	c.note.firstByte = now.Sub(c.began)
-	c.pass(t, resp)
+	c.pass(t, resp, began)
 	return true, attempt.Ran, nil
 }
 
@@ -338,7 +339,7 @@
 
 // pass copies the answer to the caller as it comes. If it breaks off, the
 // caller's connection is closed so that the answer does not look complete.
-func (c *call) pass(t *upstreams.Ticket, resp *http.Response) {
+func (c *call) pass(t *upstreams.Ticket, resp *http.Response, began time.Time) {
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	dropHopHeaders(resp.Header)
@@ -362,27 +363,27 @@
 				werr = flusher.Flush()
 			}
 			if werr != nil {
-				c.breakOff(t, "caller-left", false)
+				c.breakOff(t, "caller-left", false, began)
 				return
 			}
 		}
 		if err == io.EOF {
 			c.note.outcome = "ok"
 			c.relay.Upstreams.With(func(p *pool.Pool) { p.Succeeded(t.ID) })
-			if id, ok := c.content(); ok {
-				c.relay.Crashes.answered(id)
+			if len(c.body) > 0 && !c.relay.Crashes.empty() {
+				c.relay.Crashes.succeeded(c.relay.Now(), c.content(), began)
 			}
 			return
 		}
 		if err != nil {
-			c.breakOff(t, "answer-broke-off", true)
+			c.breakOff(t, "answer-broke-off", true, began)
 			return
 		}
 	}
 }
 
 // breakOff ends an answer that can't be completed.
-func (c *call) breakOff(t *upstreams.Ticket, outcome string, byReplica bool) {
+func (c *call) breakOff(t *upstreams.Ticket, outcome string, byReplica bool, began time.Time) {
 	now := c.relay.Now()
 	switch {
 	case c.r.Context().Err() != nil:
@@ -391,7 +392,9 @@
 		outcome = "timeout"
 	case byReplica:
 		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
-		c.broke(now, t.ID)
+		if len(c.body) > 0 {
+			c.relay.Crashes.ended(now, c.run(t, began), c.ask.ID)
+		}
 	}
 	c.note.outcome, c.abort = outcome, true
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,6 +17,7 @@
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/core/tries"
 	"crocusfold.dev/entry/outside"
 	"crocusfold.dev/entry/setup"
@@ -31,8 +32,6 @@
 	freshMargin = 400 * time.Millisecond
 	// defaultPatience is the time that a request has if nobody says.
 	defaultPatience = 30 * time.Second
-	// barredRetry is when to come back with a request that took down replicas.
-	barredRetry = 2 * time.Minute
 	// bodyLimit is how long the body of a request may take.
 	bodyLimit = 10 * time.Second
 	// defaultBody bounds a body if the configuration does not, in bytes.
@@ -74,7 +73,9 @@
 	account route.Account
 	ask     outside.Ask
 	body    []byte
-	service route.Service
+	// contentID is set by content.
+	contentID suspect.Content
+	service   route.Service
 	// budget pays for the repeats of the service's requests.
 	budget *retry.Budget
 	// deadline is when the caller or the route gives up.
@@ -147,8 +148,10 @@
 	if ref := c.readBody(table); ref != nil {
 		return ref
 	}
-	if id, ok := c.content(); ok && rl.Crashes.barred(c.began, id) {
-		return notRun("crashes-replicas", barredRetry)
+	if len(c.body) > 0 && !rl.Crashes.empty() {
+		if after, barred := rl.Crashes.barred(c.began, c.content()); barred {
+			return notRun(crashesReplicas, after)
+		}
 	}
 	c.service = table.Services[c.route.Pick(xxhash.Sum64String(c.ask.ID))]
 	c.deadline = c.began.Add(defaultPatience)
@@ -226,6 +229,9 @@
 	return body, err
 }
 
+// crashesReplicas is the code of refusals of requests that took down replicas.
+const crashesReplicas = "crashes-replicas"
+
 // refusal is the final answer to a request that is given up.
 type refusal struct {
 	status int
