Count a silent end of a replica against the runs that it left unanswered

What callers and operators saw: a request whose replica fell silent in place of breaking the connection went on to the next replica each time it came. Cause: an end was only seen as a broken connection. If the route's or the caller's time was over first, or the caller left, the run was forgotten. Class: a failure detector that knows one kind of failure. Change: runs without an answer are remembered for 15 s. If the list of replicas then shows that the replica has ended, without having said that it leaves, or has started again, the run counts as one that ended with it. Ruled out: counting each timeout; slow replicas would make innocent requests suspects.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -20,8 +20,12 @@
 	endLife = 2 * time.Minute
 	// barredLife is how long they count of one that is; it is longer than any bar.
 	barredLife = 48 * time.Hour
-	// maxRecords bounds the requests that are kept.
+	// openLife is how long a run without an answer may turn out to have ended with
+	// its replica. The list of replicas tells after three heartbeats and its lag.
+	openLife = 15 * time.Second
+	// maxRecords and maxOpen bound the requests and the runs that are kept.
 	maxRecords = 2000
+	maxOpen    = 2000
 	// maxKept bounds the requests in the record for the platform.
 	maxKept = 200
 )
@@ -62,6 +66,7 @@
 	// Seed differs between instances, so that their bars don't end together.
 	Seed    uint64
 	records map[suspect.Content]*record
+	open    []openRun
 }
 
 type record struct {
@@ -72,6 +77,11 @@
 	noticed bool
 }
 
+type openRun struct {
+	Run
+	at time.Time
+}
+
 // Ends returns the number of ends of a content.
 func (g *Register) Ends(c suspect.Content) int {
 	if rec, ok := g.records[c]; ok {
@@ -108,6 +118,34 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, round))
 }
 
+// Unanswered notes a run of which nothing was heard before its time was over or
+// its caller left. It counts if its replica turns out to have ended.
+func (g *Register) Unanswered(now time.Time, r Run) {
+	for len(g.open) > 0 && (len(g.open) >= maxOpen || now.Sub(g.open[0].at) > openLife) {
+		g.open = g.open[1:]
+	}
+	g.open = append(g.open, openRun{r, now})
+}
+
+// ReplicaEnded takes the end of a replica's incarnation, which was not asked for,
+// and returns the runs that ended with it.
+func (g *Register) ReplicaEnded(now time.Time, replica string, incarnation int64) []Run {
+	var ended []Run
+	kept := g.open[:0]
+	for _, o := range g.open {
+		switch {
+		case now.Sub(o.at) > openLife:
+		case o.Replica == replica && o.Incarnation == incarnation:
+			g.Ended(now, o.Run)
+			ended = append(ended, o.Run)
+		default:
+			kept = append(kept, o)
+		}
+	}
+	g.open = kept
+	return ended
+}
+
 // Succeeded notes a run that was answered with success. Ends since it began
 // still count.
 func (g *Register) Succeeded(now time.Time, c suspect.Content, began time.Time) {
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -55,6 +55,10 @@
 	switch args[0] {
 	case "ended":
 		g.Ended(at(args[1]), Run{Content: content(args[2]), Replica: args[3], Began: at(args[4])})
+	case "unanswered":
+		g.Unanswered(at(args[1]), Run{Content: content(args[2]), Replica: args[3], Began: at(args[4])})
+	case "replica-ended":
+		g.ReplicaEnded(at(args[1]), args[2], 0)
 	case "succeeded":
 		g.Succeeded(at(args[1]), content(args[2]), at(args[3]))
 	case "hear":
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -141,13 +141,13 @@
 	r.removeAt = at
 }
 
-// Sweep drops the replicas whose removal is due and returns their ids.
-func (p *Pool) Sweep(now time.Time) []string {
-	var gone []string
+// Sweep drops the replicas whose removal is due and returns them.
+func (p *Pool) Sweep(now time.Time) []Replica {
+	var gone []Replica
 	for id, r := range p.replicas {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			delete(p.replicas, id)
-			gone = append(gone, id)
+			gone = append(gone, r.Replica)
 		}
 	}
 	return gone
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -31,7 +31,11 @@
 	case "remove":
 		p.Remove(at(args[1]), at(args[2]), args[3])
 	case "sweep":
-		return p.Sweep(at(args[1]))
+		var gone []string
+		for _, r := range p.Sweep(at(args[1])) {
+			gone = append(gone, r.ID)
+		}
+		return gone
 	case "begin":
 		p.Begin(args[1], Load{Tokens: number(args[2]), Reading: number(args[2])})
 	case "moving":
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -132,7 +132,7 @@
 		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: e.crashes,
 	}
 	e.topics.OnInstances, e.topics.Reads = e.takeInstances, e.gossip.Reads
-	e.crashes.Nudge = e.gossip.Nudge
+	e.crashes.Nudge, e.upstreams.OnEnded = e.gossip.Nudge, e.crashes.ReplicaEnded
 	e.upstreams.Cleans = e.duty.Holds
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
 	e.budgets = &retry.Budgets{Share: cfg.Bounds.RetryShare, Slack: cfg.Bounds.RetrySlack}
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -11,6 +11,7 @@
 
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/poison"
+	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/upstreams"
@@ -101,16 +102,33 @@
 	return out
 }
 
+// ReplicaEnded takes the end of a replica that the list of replicas shows.
+func (cr *Crashes) ReplicaEnded(now time.Time, r pool.Replica) {
+	cr.mu.Lock()
+	runs := cr.register.ReplicaEnded(now, r.ID, r.Incarnation)
+	cr.mu.Unlock()
+	for _, run := range runs {
+		cr.noticed(now, run, "")
+	}
+}
+
 // ended notes that a run ended with its replica.
 func (cr *Crashes) ended(now time.Time, run poison.Run, id string) {
 	cr.mu.Lock()
 	cr.register.Ended(now, run)
+	cr.mu.Unlock()
+	cr.noticed(now, run, id)
+}
+
+// noticed logs an end and passes on what concerns more than one.
+func (cr *Crashes) noticed(now time.Time, run poison.Run, id string) {
+	cr.mu.Lock()
 	ends := cr.register.Ends(run.Content)
 	until, barred := cr.register.Barred(now, run.Content)
 	cr.mu.Unlock()
 	cr.Metrics.ends.seen.Inc(1)
 	_ = cr.Logger.Log("id", id, "msg", "Counted an end of a replica against a request.", "replica", run.Replica,
-		"incarnation", run.Incarnation, "content", run.Content, "ends", ends)
+		"incarnation", run.Incarnation, "content", run.Content, "ends", ends, "silent", id == "")
 	if barred {
 		_ = cr.Logger.Log("msg", "A request that takes down replicas is barred.", "content", run.Content, "told-by", "", "for", until.Sub(now).Round(time.Second))
 	}
@@ -120,6 +138,12 @@
 	}
 }
 
+func (cr *Crashes) unanswered(now time.Time, run poison.Run) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.register.Unanswered(now, run)
+}
+
 func (cr *Crashes) succeeded(now time.Time, c suspect.Content, began time.Time) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -201,10 +201,14 @@
 	if err != nil {
 		// No write may follow what is said of the request from here on.
 		att.Revoke()
+		ran := att.Run() != attempt.NotRun && len(c.body) > 0
+		switch {
+		case c.ctx.Err() != nil && ran:
+			c.relay.Crashes.unanswered(now, c.run(t, began))
+		case c.ctx.Err() == nil && ran:
+			c.relay.Crashes.ended(now, c.run(t, began), c.ask.ID)
+		}
 		if c.ctx.Err() == nil {
-			if att.Run() != attempt.NotRun && len(c.body) > 0 {
-				c.relay.Crashes.ended(now, c.run(t, began), c.ask.ID)
-			}
 			up.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
 			c.relay.Metrics.failed(t.Service, "connection")
 			_ = c.relay.Logger.Log("id", c.ask.ID, "msg", "A try failed.", "replica", t.ID, "run", att.Run(), "err", err)
@@ -385,6 +389,10 @@
 // breakOff ends an answer that can't be completed.
 func (c *call) breakOff(t *upstreams.Ticket, outcome string, byReplica bool, began time.Time) {
 	now := c.relay.Now()
+	run := c.run(t, began)
+	if len(c.body) > 0 && (c.ctx.Err() != nil || !byReplica) {
+		c.relay.Crashes.unanswered(now, run)
+	}
 	switch {
 	case c.r.Context().Err() != nil:
 		outcome = "caller-left"
@@ -393,7 +401,7 @@
 	case byReplica:
 		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
 		if len(c.body) > 0 {
-			c.relay.Crashes.ended(now, c.run(t, began), c.ask.ID)
+			c.relay.Crashes.ended(now, run, c.ask.ID)
 		}
 	}
 	c.note.outcome, c.abort = outcome, true
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -63,6 +63,9 @@
 	// lists them more often while they have parts that are not whole.
 	Cleans func(now time.Time) bool
 
+	// OnEnded, if set, takes replicas that ended without having left before.
+	OnEnded func(now time.Time, r pool.Replica)
+
 	mu sync.Mutex
 	// named has the newest weight version of each model and when it was heard of.
 	named map[string]naming
@@ -106,7 +109,7 @@
 	u.pool.DataCentre = u.DataCentre
 	for _, rec := range changed {
 		if len(rec.Value) == 0 {
-			u.remove(now, removeAt, rec.Key)
+			u.leftList(now, removeAt, rec.Key)
 			continue
 		}
 		r, err := u.Decoder.Replica(now, rec)
@@ -117,6 +120,9 @@
 		}
 		old, known := u.pool.Replica(r.ID)
 		u.pool.Set(r)
+		if known && old.Incarnation != r.Incarnation {
+			u.ended(now, old)
+		}
 		if !known || old.Draining != r.Draining || old.Incarnation != r.Incarnation {
 			_ = u.Logger.Log("msg", "A replica changed.", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "cold-for", coldFor(now, r), "offset", rec.Offset)
 		}
@@ -131,6 +137,22 @@
 	return max(0, r.ColdUntil.Sub(now))
 }
 
+// leftList takes the removal of a replica's entry at a moment that may lie ahead.
+func (u *Upstreams) leftList(now, at time.Time, id string) {
+	r, known := u.pool.Replica(id)
+	u.remove(now, at, id)
+	if known && !now.Before(at) {
+		u.ended(now, r)
+	}
+}
+
+// ended tells of a replica's end, unless the replica had said that it leaves.
+func (u *Upstreams) ended(now time.Time, r pool.Replica) {
+	if u.OnEnded != nil && !r.Draining {
+		u.OnEnded(now, r)
+	}
+}
+
 func (u *Upstreams) remove(now, at time.Time, id string) {
 	u.pool.Remove(now, at, id)
 	_ = u.Logger.Log("msg", "A replica left the list.", "replica", id, "removed-in", at.Sub(now))
@@ -143,8 +165,9 @@
 func (u *Upstreams) Sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, id := range u.pool.Sweep(now) {
-		u.dropLink(id)
+	for _, r := range u.pool.Sweep(now) {
+		u.dropLink(r.ID)
+		u.ended(now, r)
 	}
 	for v, at := range u.loaded {
 		if now.Sub(at) > loadedLife {
