Look at the ends again right before each try, and allow one trial after a bar

What operators saw: a request that waited for room, or was about to be tried again, took down a fourth replica after the third end was known. Cause: the bar was looked at once, when the request came in. Class: a check at the start of an operation that is not repeated at its last step. Change: each try asks the register for leave right before it is sent. After a bar one request with the content may run as a trial; others wait for its outcome.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -23,6 +23,8 @@
 	// openLife is how long a run without an answer may turn out to have ended with
 	// its replica. The list of replicas tells after three heartbeats and its lag.
 	openLife = 15 * time.Second
+	// trialLife is how long others wait for the outcome of a trial.
+	trialLife = 10 * time.Second
 	// maxRecords and maxOpen bound the requests and the runs that are kept.
 	maxRecords = 2000
 	maxOpen    = 2000
@@ -31,8 +33,8 @@
 )
 
 // bars has how long a request is barred after its last end, by the number of
-// ends from mostEnds on. An innocent request is not barred for long, and a guilty one
-// takes down few more replicas.
+// ends from mostEnds on. After each bar one trial is allowed, so that an innocent
+// request is not barred for long and a guilty one takes down few more.
 var bars = [...]time.Duration{time.Minute, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour}
 
 // Run is one run of a request at a replica.
@@ -63,7 +65,7 @@
 // Register holds the ends of all requests. The zero value is empty. It is not
 // safe for concurrent use.
 type Register struct {
-	// Seed differs between instances, so that their bars don't end together.
+	// Seed differs between instances, so that they don't allow trials together.
 	Seed    uint64
 	records map[suspect.Content]*record
 	open    []openRun
@@ -75,6 +77,10 @@
 	// was ever by a run of this instance.
 	changed time.Time
 	noticed bool
+	// trial is the request that may run until trialUntil although the record bars
+	// its content.
+	trial      string
+	trialUntil time.Time
 }
 
 type openRun struct {
@@ -173,6 +179,24 @@
 	return float64(sum>>11) / (1 << 53)
 }
 
+// Admit decides whether a request may be sent to a replica now. If not, it
+// returns when to come back.
+func (g *Register) Admit(now time.Time, c suspect.Content, request string) (after time.Duration, ok bool) {
+	until, barred := g.Barred(now, c)
+	if barred {
+		return until.Sub(now), false
+	}
+	if until.IsZero() {
+		return 0, true
+	}
+	rec := g.records[c]
+	if rec.trial != request && now.Before(rec.trialUntil) {
+		return rec.trialUntil.Sub(now), false
+	}
+	rec.trial, rec.trialUntil = request, now.Add(trialLife)
+	return 0, true
+}
+
 // Hear merges what another instance knows, and reports whether it was new.
 func (g *Register) Hear(now time.Time, heard Record) bool {
 	rec := g.record(now, heard.Content)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -66,6 +66,9 @@
 	case "barred":
 		_, barred := g.Barred(at(args[1]), content(args[2]))
 		return []string{strconv.FormatBool(barred)}
+	case "admit":
+		_, ok := g.Admit(at(args[1]), content(args[2]), args[3])
+		return []string{strconv.FormatBool(ok)}
 	case "ends":
 		return []string{strconv.Itoa(g.Ends(content(args[1])))}
 	case "told":
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -164,6 +164,14 @@
 	return until.Sub(now), barred
 }
 
+// admit decides whether a request may be sent to a replica; if not, it returns
+// when to come back.
+func (cr *Crashes) admit(now time.Time, c suspect.Content, request string) (time.Duration, bool) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return cr.register.Admit(now, c, request)
+}
+
 // keptRecord is the record on the platform. Its times are of the wall clock,
 // which may be off by seconds; what is counted there lasts for minutes.
 type keptRecord struct {
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -72,6 +72,10 @@
 		if ref != nil {
 			return ref
 		}
+		if ref := c.stillAllowed(); ref != nil {
+			c.relay.Upstreams.End(t)
+			return ref
+		}
 		c.note.tries++
 		done, run, err := c.try(t)
 		c.relay.Upstreams.End(t)
@@ -85,6 +89,23 @@
 	}
 }
 
+// stillAllowed looks again whether the request takes down replicas, since it may
+// have waited or been tried meanwhile.
+func (c *call) stillAllowed() *refusal {
+	if len(c.body) == 0 || c.relay.Crashes.empty() {
+		return nil
+	}
+	after, ok := c.relay.Crashes.admit(c.relay.Now(), c.content(), c.ask.ID)
+	switch {
+	case ok:
+		return nil
+	case c.tries.Runs() > 0:
+		return c.lost()
+	default:
+		return notRun(crashesReplicas, after)
+	}
+}
+
 // allowed bounds the tries of the request.
 func (c *call) allowed() tries.Allowed {
 	if c.route.Repeatable() {
