Let only a success clear the ends of a request

What operators saw: a request that had taken down replicas began anew with three more after any replica had answered it with a failure. Cause: each whole answer cleared the ends, also a 500 of a replica that is failing or a 4xx that was given before the request ran. Class: absence of one failure taken for a success. Change: only 2xx answers clear. Evidence: the case with a 500 between the ends failed before and passes now.

--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -395,7 +395,8 @@
 		if err == io.EOF {
 			c.note.outcome = "ok"
 			c.relay.Upstreams.With(func(p *pool.Pool) { p.Succeeded(t.ID) })
-			if len(c.body) > 0 && !c.relay.Crashes.empty() {
+			// A failure may come from a replica that did not run the request.
+			if len(c.body) > 0 && resp.StatusCode < http.StatusMultipleChoices && !c.relay.Crashes.empty() {
 				c.relay.Crashes.succeeded(c.relay.Now(), c.content(), began)
 			}
 			return
