Count the ends of replicas for requests without a body too

What operators saw: a request without a body took down a replica at each arrival, without an end. Cause: such requests had no identity, on the ground that they can't be told apart; account, method and path do tell them apart. Class: a special value that opts out of a bound. Change: the identity is made of account, method, path and body, whatever the body is. It is worked out only while some request is known to have ended with a replica. Ruled out: that many equal look-ups bar each other; copies that end with one replica count once, and the next success clears them.

--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -265,7 +265,7 @@
 }
 
 // content identifies what the request asks for, whoever sends it under whatever
-// id. Requests without a body can't be told apart, so they aren't counted.
+// id.
 func (c *call) content() suspect.Content {
 	if c.contentID == (suspect.Content{}) {
 		text := append([]byte(c.account.Name+"\x00"+c.r.Method+"\x00"+c.r.RequestURI+"\x00"), c.body...)
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -92,7 +92,7 @@
 // stillAllowed looks again whether the request takes down replicas, since it may
 // have waited or been tried meanwhile.
 func (c *call) stillAllowed() *refusal {
-	if len(c.body) == 0 || c.relay.Crashes.empty() {
+	if c.relay.Crashes.empty() {
 		return nil
 	}
 	after, ok := c.relay.Crashes.admit(c.relay.Now(), c.content(), c.ask.ID)
@@ -222,7 +222,7 @@
 	if err != nil {
 		// No write may follow what is said of the request from here on.
 		att.Revoke()
-		ran := att.Run() != attempt.NotRun && len(c.body) > 0
+		ran := att.Run() != attempt.NotRun
 		switch {
 		case c.ctx.Err() != nil && ran:
 			c.relay.Crashes.unanswered(now, c.run(t, began))
@@ -396,7 +396,7 @@
 			c.note.outcome = "ok"
 			c.relay.Upstreams.With(func(p *pool.Pool) { p.Succeeded(t.ID) })
 			// A failure may come from a replica that did not run the request.
-			if len(c.body) > 0 && resp.StatusCode < http.StatusMultipleChoices && !c.relay.Crashes.empty() {
+			if resp.StatusCode < http.StatusMultipleChoices && !c.relay.Crashes.empty() {
 				c.relay.Crashes.succeeded(c.relay.Now(), c.content(), began)
 			}
 			return
@@ -412,7 +412,7 @@
 func (c *call) breakOff(t *upstreams.Ticket, outcome string, byReplica bool, began time.Time) {
 	now := c.relay.Now()
 	run := c.run(t, began)
-	if len(c.body) > 0 && (c.ctx.Err() != nil || !byReplica) {
+	if c.ctx.Err() != nil || !byReplica {
 		c.relay.Crashes.unanswered(now, run)
 	}
 	switch {
@@ -422,9 +422,7 @@
 		outcome = "timeout"
 	case byReplica:
 		c.relay.Upstreams.With(func(p *pool.Pool) { p.Failed(now, t.ID) })
-		if len(c.body) > 0 {
-			c.relay.Crashes.ended(now, run, c.ask.ID)
-		}
+		c.relay.Crashes.ended(now, run, c.ask.ID)
 	}
 	c.note.outcome, c.abort = outcome, true
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -148,7 +148,7 @@
 	if ref := c.readBody(table); ref != nil {
 		return ref
 	}
-	if len(c.body) > 0 && !rl.Crashes.empty() {
+	if !rl.Crashes.empty() {
 		if after, barred := rl.Crashes.barred(c.began, c.content()); barred {
 			return notRun(crashesReplicas, after)
 		}
