Bound what is read of answers without end, and don't wait for a refusal's body

What callers and operators would see: a replica that sends bytes that are no answer, without end, makes an instance read 10 MB for each head and 15 MB for each report, which the memory of an instance does not bear many times; a refusal whose body does not come holds its request until its time is over (503 after 2 s in place of another replica's answer). Cause: the limits of the HTTP library for heads, one limit of 16 MB for all answers of the platform, and a body that was read before the next try. Class: trust in the length of what another process sends. A body without end was already ended at the route's timeout, and does not look complete. Ruled out: a bound on the length of passed bodies; answers have no stated one.

--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -34,6 +34,10 @@
 	waitShare = 0.5
 	// waitDefault is that time for routes without a target.
 	waitDefault = 150 * time.Millisecond
+	// discardLimit and maxDiscard, in bytes, bound what is read of an answer that is
+	// not passed on.
+	discardLimit = time.Second
+	maxDiscard   = 4 << 10
 )
 
 // Times to come back, by the reason of a refusal.
@@ -236,7 +240,6 @@
 		}
 		return false, att.Run(), err
 	}
-	defer resp.Body.Close()
 	reply := c.relay.Dialect.Reply(resp.StatusCode, resp.Header)
 	c.learn(now, t, reply)
 	if err := c.check(now, t, resp, reply); err != nil {
@@ -244,16 +247,28 @@
 		c.relay.Metrics.failed(t.Service, failureName(err))
 		if errors.Is(err, errRefused) {
 			att.Refused()
-			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+			go discard(resp.Body)
+		} else {
+			_ = resp.Body.Close()
 		}
 		return false, att.Run(), err
 	}
+	defer resp.Body.Close()
 	up.FirstAnswer(now, t)
 	c.note.firstByte = now.Sub(c.began)
 	c.pass(t, resp, began)
 	return true, attempt.Ran, nil
 }
 
+// discard reads the rest of a short answer, so that its connection can be used
+// again. The request does not wait for it, since the rest may never come.
+func discard(body io.ReadCloser) {
+	late := time.AfterFunc(discardLimit, func() { _ = body.Close() })
+	defer late.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscard))
+	_ = body.Close()
+}
+
 // learn takes what an answer says of its replica.
 func (c *call) learn(now time.Time, t *upstreams.Ticket, reply outside.Reply) {
 	up := c.relay.Upstreams
--- a/shell/network/network.go
+++ b/shell/network/network.go
@@ -19,6 +19,9 @@
 	dialLimit      = 500 * time.Millisecond
 	idleLimit      = 90 * time.Second
 	maxIdlePerHost = 128
+	// maxHead bounds the head of an answer, in bytes; a peer in trouble may send
+	// one without end.
+	maxHead = 64 << 10
 )
 
 // Detection of connections that went silent without a reset. A peer that
@@ -83,5 +86,7 @@
 
 // Transport returns an HTTP transport over the network.
 func (n Network) Transport() *http.Transport {
-	return &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleLimit}
+	return &http.Transport{
+		DialContext: n.Dial, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleLimit, MaxResponseHeaderBytes: maxHead,
+	}
 }
