Tell convictions of crashing requests to instances that missed them

What callers would see on the product's own interface: a request that was refused as one that crashes upstreams takes down another through an instance that was started or cut off when it was convicted. Change: each instance compares its convictions with those of one peer every two seconds, and takes what it lacks, for as long as it counts there. Suspicions are not compared; they are cleared by messages that could be missed as well.

--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -23,6 +23,9 @@
 			case "later":
 				d, _ := time.ParseDuration(args[1])
 				now = now.Add(d)
+			case "merge":
+				left, _ := time.ParseDuration(args[2])
+				s.Merge(now, []Conviction{{c, left}})
 			case "flood":
 				for i := range 2 * maxSuspects {
 					s.Apply(now, Strike{Content: NewContent([]byte{byte(i), byte(i >> 8), byte(i >> 16)})})
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -168,6 +168,17 @@
 	Strikes []suspect.Strike `json:"strikes"`
 }
 
+// ConvictionsAsk asks for the convictions of a peer that knows others than those
+// with this digest; answered by Convictions.
+type ConvictionsAsk struct {
+	Digest uint64 `json:"digest"`
+}
+
+// Convictions answers ConvictionsAsk.
+type Convictions struct {
+	Convictions []suspect.Conviction `json:"convictions"`
+}
+
 // HeldAsk asks an upstream's sponsor how many leading blocks it is believed to
 // hold; answered by HeldReply.
 type HeldAsk struct {
@@ -298,33 +309,35 @@
 	ProofAge time.Duration `json:"proof-age"`
 }
 
-func (Gossip) message()      {}
-func (ViewAsk) message()     {}
-func (ViewCopy) message()    {}
-func (Ack) message()         {}
-func (Heartbeat) message()   {}
-func (Report) message()      {}
-func (Nudge) message()       {}
-func (Fetch) message()       {}
-func (Records) message()     {}
-func (Copy) message()        {}
-func (StatusQuery) message() {}
-func (Status) message()      {}
-func (OrderAsk) message()    {}
-func (OrderEnd) message()    {}
-func (OrderReply) message()  {}
-func (PermitAsk) message()   {}
-func (PermitReply) message() {}
-func (PermitEnd) message()   {}
-func (Chill) message()       {}
-func (Loads) message()       {}
-func (QuotaAsk) message()    {}
-func (QuotaReply) message()  {}
-func (Strikes) message()     {}
-func (HeldAsk) message()     {}
-func (HeldReply) message()   {}
-func (ContentLock) message() {}
-func (LoadPermit) message()  {}
+func (Gossip) message()         {}
+func (ViewAsk) message()        {}
+func (ViewCopy) message()       {}
+func (Ack) message()            {}
+func (Heartbeat) message()      {}
+func (Report) message()         {}
+func (Nudge) message()          {}
+func (Fetch) message()          {}
+func (Records) message()        {}
+func (Copy) message()           {}
+func (StatusQuery) message()    {}
+func (Status) message()         {}
+func (OrderAsk) message()       {}
+func (OrderEnd) message()       {}
+func (OrderReply) message()     {}
+func (PermitAsk) message()      {}
+func (PermitReply) message()    {}
+func (PermitEnd) message()      {}
+func (Chill) message()          {}
+func (Loads) message()          {}
+func (QuotaAsk) message()       {}
+func (QuotaReply) message()     {}
+func (Strikes) message()        {}
+func (ConvictionsAsk) message() {}
+func (Convictions) message()    {}
+func (HeldAsk) message()        {}
+func (HeldReply) message()      {}
+func (ContentLock) message()    {}
+func (LoadPermit) message()     {}
 
 // Codec writes messages as CBOR.
 var Codec = codec.NewUnion(
@@ -355,4 +368,6 @@
 	codec.Case(25, func(m Gossip) Message { return m }),
 	codec.Case(26, func(m ViewAsk) Message { return m }),
 	codec.Case(27, func(m ViewCopy) Message { return m }),
+	codec.Case(28, func(m ConvictionsAsk) Message { return m }),
+	codec.Case(29, func(m Convictions) Message { return m }),
 )
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -42,16 +42,17 @@
 
 // Node is an entry instance.
 type Node struct {
-	cfg    config.Settings
-	net    network.Network
-	logger log.Logger
-	follow *follow.Follower
-	desk   *desk.Desk
-	fleet  *fleet.Fleet
-	limits *limits.Limits
-	gate   *gate.Gate
-	mesh   *mesh.Mesh
-	close  func()
+	cfg     config.Settings
+	net     network.Network
+	logger  log.Logger
+	follow  *follow.Follower
+	desk    *desk.Desk
+	fleet   *fleet.Fleet
+	limits  *limits.Limits
+	strikes *strikes.Strikes
+	gate    *gate.Gate
+	mesh    *mesh.Mesh
+	close   func()
 }
 
 // NewNode builds an instance from its settings.
@@ -71,8 +72,8 @@
 	n.desk = &desk.Desk{Log: cfg.Log, Client: platform, Streams: cfg.ClaimStreams, Follow: n.follow, Mesh: n.mesh, Logger: part("orders")}
 	n.fleet = &fleet.Fleet{Self: self, Follow: n.follow, Mesh: n.mesh, Client: upstreams, Logger: part("fleet")}
 	n.limits = &limits.Limits{Self: self, Follow: n.follow, Mesh: n.mesh}
-	struck := &strikes.Strikes{Self: self, Follow: n.follow, Mesh: n.mesh}
-	struck.Attach()
+	n.strikes = &strikes.Strikes{Self: self, Follow: n.follow, Mesh: n.mesh}
+	n.strikes.Attach()
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -86,7 +87,7 @@
 		_ = closer.Close()
 	}
 	n.gate = &gate.Gate{
-		Settings: cfg, Follow: n.follow, Desk: n.desk, Fleet: n.fleet, Limits: n.limits, Strikes: struck,
+		Settings: cfg, Follow: n.follow, Desk: n.desk, Fleet: n.fleet, Limits: n.limits, Strikes: n.strikes,
 		Cache:   &cache.Cache{Client: upstreams, Logger: part("cache")},
 		Engines: &engineclient.Client{HTTP: engines},
 		Network: net,
@@ -137,6 +138,7 @@
 	wg.Go(func() { n.follow.Run(work) })
 	wg.Go(func() { n.fleet.Run(work) })
 	wg.Go(func() { n.limits.Run(work) })
+	wg.Go(func() { n.strikes.Run(work) })
 	_ = n.logger.Log("part", "node", "msg", "The instance serves.", "listen", n.cfg.Listen, "peers", n.cfg.PeerListen)
 	select {
 	case err := <-errs:
--- a/entry/strikes/strikes.go
+++ b/entry/strikes/strikes.go
@@ -100,6 +100,8 @@
 	case message.Strikes:
 		s.apply(now, m.Strikes)
 		return message.Ack{}, true, nil
+	case message.ConvictionsAsk:
+		return s.convictions(now, m), true, nil
 	case message.ContentLock:
 		return message.PermitReply{OK: s.lockContent(now, m)}, true, nil
 	default:
