Forget ends that no longer count, and skip the search for news when there are none

Cause: a record was only dropped when its content came again or 2,000 were kept, so after the first end of a replica each body was hashed for ever, and each exchange with a peer went through all records. Change: records that no longer count are dropped every ten seconds; an exchange looks for changed records only if one changed since the last. Ruled out: an order of the records by change; the list is short.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -69,6 +69,8 @@
 	Seed    uint64
 	records map[suspect.Content]*record
 	open    []openRun
+	// changed is when any record last changed.
+	changed time.Time
 }
 
 type record struct {
@@ -96,6 +98,15 @@
 	return 0
 }
 
+// Sweep forgets what no longer counts.
+func (g *Register) Sweep(now time.Time) {
+	for c, rec := range g.records {
+		if rec.expired(now) {
+			delete(g.records, c)
+		}
+	}
+}
+
 // Empty reports whether no request is known.
 func (g *Register) Empty() bool { return len(g.records) == 0 }
 
@@ -111,7 +122,8 @@
 		}
 		if !known {
 			rec.Ends = append(rec.Ends, End{id, now})
-			rec.changed, rec.noticed = now, true
+			g.note(now, rec)
+			rec.noticed = true
 		}
 		return
 	}
@@ -159,9 +171,13 @@
 	if !ok || !rec.clear(began) {
 		return
 	}
-	rec.changed, rec.noticed = now, true
+	g.note(now, rec)
+	rec.noticed = true
 }
 
+// note notes a change of a record.
+func (g *Register) note(now time.Time, rec *record) { g.changed, rec.changed = now, now }
+
 // Barred returns until when a content must not run; ok is false if it may.
 func (g *Register) Barred(now time.Time, c suspect.Content) (until time.Time, ok bool) {
 	rec, known := g.records[c]
@@ -212,7 +228,7 @@
 	}
 	switch {
 	case changed:
-		rec.changed = now
+		g.note(now, rec)
 	case len(rec.Ends) == 0 && rec.Cleared.IsZero():
 		delete(g.records, heard.Content)
 	}
@@ -223,6 +239,9 @@
 // alone is told only by the instance that noticed it, since many requests end
 // with a replica.
 func (g *Register) Since(now, moment time.Time) []Record {
+	if g.changed.Before(moment) {
+		return nil
+	}
 	var out []Record
 	for _, rec := range g.records {
 		if !rec.changed.Before(moment) && (rec.noticed || len(rec.Ends) > 1) && !rec.expired(now) {
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -75,6 +75,10 @@
 		return show(g.Since(at(args[1]), at(args[1])))
 	case "kept":
 		return show(g.Kept(at(args[1])))
+	case "sweep":
+		g.Sweep(at(args[1]))
+	case "empty":
+		return []string{strconv.FormatBool(g.Empty())}
 	case "flood":
 		n, _ := strconv.Atoi(args[2])
 		for i := range n {
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -27,6 +27,8 @@
 	keepAfter = 100 * time.Millisecond
 	// keepEvery is the least pause between two writes, also after a failed one.
 	keepEvery = time.Second
+	// sweepEvery is the pause between two looks for what no longer counts.
+	sweepEvery = 10 * time.Second
 )
 
 // Crashes finds requests that take down each replica that runs them, together
@@ -220,12 +222,18 @@
 	}
 }
 
-// Run writes the record when there is news, until ctx ends.
+// Run writes the record when there is news, and forgets what no longer counts,
+// until ctx ends.
 func (cr *Crashes) Run(ctx context.Context) {
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-sweep.C:
+			cr.sweep(cr.Now())
+			continue
 		case <-cr.unkept:
 		}
 		clock.Pause(ctx, keepAfter)
@@ -237,6 +245,12 @@
 	}
 }
 
+func (cr *Crashes) sweep(now time.Time) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.register.Sweep(now)
+}
+
 // write puts all that must outlive the instances into this instance's record.
 func (cr *Crashes) write(ctx context.Context) error {
 	now, wall := cr.Now(), time.Now()
