Void an end of a replica that proves that it lives

Found while the register of ends was read for what it does to innocent requests. Cause: a broken connection was taken for the end of its replica. The product's own interface already says that a broken connection alone is no death. Change: an answer on a connection that was first used before an end voids the end, since the connection outlived it, unless it could have been sent before. Void ends are told like others, and win over them wherever they meet. Ruled out: a time after which a replica is believed to live; a plain service may be back within a second, with the incarnation that is known.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -23,6 +23,9 @@
 	// openLife is how long a run without an answer may turn out to have ended with
 	// its replica. The list of replicas tells after three heartbeats and its lag.
 	openLife = 15 * time.Second
+	// answerMargin is how long an answer may still arrive that was sent before the
+	// replica ended.
+	answerMargin = 200 * time.Millisecond
 	// trialLife is how long others wait for the outcome of a trial.
 	trialLife = 10 * time.Second
 	// maxRecords and maxOpen bound the requests and the runs that are kept.
@@ -46,11 +49,16 @@
 	Began       time.Time
 }
 
-// End is one end of a replica that ran a request.
+// End is one end of a replica that ran a request. Replica and Round are the same
+// at all instances that noticed it.
 type End struct {
-	// ID is the same at all instances that noticed the end.
-	ID uint64
-	At time.Time
+	// Replica is the digest of the replica's incarnation.
+	Replica uint64
+	// Round tells the ends of one incarnation apart whose restart is not known yet.
+	Round int
+	At    time.Time
+	// Void is true if the replica has proved since that it lives.
+	Void bool
 }
 
 // Record is what is known of one request.
@@ -93,7 +101,7 @@
 // Ends returns the number of ends of a content.
 func (g *Register) Ends(c suspect.Content) int {
 	if rec, ok := g.records[c]; ok {
-		return len(rec.Ends)
+		return rec.count()
 	}
 	return 0
 }
@@ -113,27 +121,47 @@
 // Ended notes that a run ended with its replica.
 func (g *Register) Ended(now time.Time, r Run) {
 	rec := g.record(now, r.Content)
-	for round := uint64(0); ; round++ {
-		id := endID(r, round)
-		at, known := rec.end(id)
-		if known && at.Before(r.Began) {
-			// The replica ended before, under the same incarnation as far as is known.
+	replica := Digest(r.Replica, r.Incarnation)
+	round := 0
+	for _, e := range rec.Ends {
+		if e.Replica != replica {
 			continue
 		}
-		if !known {
-			rec.Ends = append(rec.Ends, End{id, now})
-			g.note(now, rec)
-			rec.noticed = true
+		if !e.Void && !e.At.Before(r.Began) {
+			return
 		}
-		return
+		// That one is void or was before the run began, so this is another.
+		round = max(round, e.Round+1)
 	}
+	rec.Ends = append(rec.Ends, End{Replica: replica, Round: round, At: now})
+	g.note(now, rec)
+	rec.noticed = true
 }
 
-// endID names an end of a replica's incarnation; rounds tell the ends of one
-// apart whose restart is not known yet.
-func endID(r Run, round uint64) uint64 {
-	text := binary.BigEndian.AppendUint64([]byte(r.Replica), uint64(r.Incarnation))
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, round))
+// Digest names a replica's incarnation.
+func Digest(replica string, incarnation int64) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(replica), uint64(incarnation)))
+}
+
+// Lives takes an answer of a replica on a connection that was first used at
+// opened. Ends between the two were none, since the connection outlived them. It
+// reports whether there were such.
+func (g *Register) Lives(now time.Time, replica string, incarnation int64, opened time.Time) bool {
+	if len(g.records) == 0 {
+		return false
+	}
+	digest, any := Digest(replica, incarnation), false
+	for _, rec := range g.records {
+		for i := range rec.Ends {
+			e := &rec.Ends[i]
+			if e.Replica == digest && !e.Void && opened.Before(e.At) && now.Sub(e.At) > answerMargin {
+				e.Void, any = true, true
+				g.note(now, rec)
+				rec.noticed = true
+			}
+		}
+	}
+	return any
 }
 
 // Unanswered notes a run of which nothing was heard before its time was over or
@@ -181,10 +209,10 @@
 // Barred returns until when a content must not run; ok is false if it may.
 func (g *Register) Barred(now time.Time, c suspect.Content) (until time.Time, ok bool) {
 	rec, known := g.records[c]
-	if !known || len(rec.Ends) < mostEnds || rec.expired(now) {
+	if !known || rec.count() < mostEnds || rec.expired(now) {
 		return time.Time{}, false
 	}
-	bar := bars[min(len(rec.Ends)-mostEnds, len(bars)-1)]
+	bar := bars[min(rec.count()-mostEnds, len(bars)-1)]
 	until = rec.last().Add(bar + time.Duration(g.spread(c)*float64(bar)))
 	return until, now.Before(until)
 }
@@ -218,7 +246,11 @@
 	rec := g.record(now, heard.Content)
 	changed := false
 	for _, e := range heard.Ends {
-		if _, known := rec.end(e.ID); !known && e.At.After(rec.Cleared) {
+		known := rec.end(e)
+		switch {
+		case known != nil && e.Void && !known.Void:
+			known.Void, changed = true, true
+		case known == nil && e.At.After(rec.Cleared):
 			rec.Ends = append(rec.Ends, e)
 			changed = true
 		}
@@ -244,7 +276,7 @@
 	}
 	var out []Record
 	for _, rec := range g.records {
-		if !rec.changed.Before(moment) && (rec.noticed || len(rec.Ends) > 1) && !rec.expired(now) {
+		if !rec.changed.Before(moment) && (rec.noticed || rec.count() > 1) && !rec.expired(now) {
 			out = append(out, rec.copy())
 		}
 	}
@@ -256,7 +288,7 @@
 func (g *Register) Kept(now time.Time) []Record {
 	var out []Record
 	for _, rec := range g.records {
-		if len(rec.Ends) > 1 && !rec.expired(now) && len(out) < maxKept {
+		if rec.count() > 1 && !rec.expired(now) && len(out) < maxKept {
 			out = append(out, rec.copy())
 		}
 	}
@@ -288,7 +320,7 @@
 		switch {
 		case rec.expired(now):
 			delete(g.records, c)
-		case least == nil || len(rec.Ends) < len(least.Ends) || len(rec.Ends) == len(least.Ends) && rec.changed.Before(least.changed):
+		case least == nil || rec.count() < least.count() || rec.count() == least.count() && rec.changed.Before(least.changed):
 			least = rec
 		}
 	}
@@ -297,20 +329,32 @@
 	}
 }
 
-func (r *record) end(id uint64) (at time.Time, known bool) {
+// end finds what is known of an end; nil is nothing.
+func (r *record) end(other End) *End {
+	for i := range r.Ends {
+		if e := &r.Ends[i]; e.Replica == other.Replica && e.Round == other.Round {
+			return e
+		}
+	}
+	return nil
+}
+
+// count is the number of ends that count.
+func (r *record) count() int {
+	n := 0
 	for _, e := range r.Ends {
-		if e.ID == id {
-			return e.At, true
+		if !e.Void {
+			n++
 		}
 	}
-	return time.Time{}, false
+	return n
 }
 
-// last is the time of the newest end.
+// last is the time of the newest end that counts.
 func (r *record) last() time.Time {
 	var last time.Time
 	for _, e := range r.Ends {
-		if e.At.After(last) {
+		if !e.Void && e.At.After(last) {
 			last = e.At
 		}
 	}
@@ -335,12 +379,14 @@
 
 func (r *record) expired(now time.Time) bool {
 	life := endLife
-	if len(r.Ends) >= mostEnds {
+	if r.count() >= mostEnds {
 		life = barredLife
 	}
-	newest := r.last()
-	if r.Cleared.After(newest) {
-		newest = r.Cleared
+	newest := r.Cleared
+	for _, e := range r.Ends {
+		if e.At.After(newest) {
+			newest = e.At
+		}
 	}
 	return !newest.IsZero() && now.Sub(newest) > life
 }
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -18,7 +18,15 @@
 // Conn is a connection whose writes belong to the attempt that it is bound to.
 type Conn struct {
 	net.Conn
-	att atomic.Pointer[attempt.Attempt]
+	att      atomic.Pointer[attempt.Attempt]
+	firstUse atomic.Pointer[time.Time]
+}
+
+// FirstUse returns when the connection was first used, which is now if it was not
+// used before.
+func (c *Conn) FirstUse(now time.Time) *time.Time {
+	c.firstUse.CompareAndSwap(nil, &now)
+	return c.firstUse.Load()
 }
 
 // Bind makes the writes from here on those of an attempt.
@@ -56,11 +64,15 @@
 }
 
 // With returns a context for one request of an attempt. The transport tells
-// which connection it took, new or kept, before it writes to it.
-func With(ctx context.Context, a *attempt.Attempt) context.Context {
+// which connection it took, new or kept, before it writes to it; onConn, if any,
+// hears of it too.
+func With(ctx context.Context, a *attempt.Attempt, onConn ...func(*Conn)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
 			c.Bind(a)
+			for _, f := range onConn {
+				f(c)
+			}
 		}
 	}})
 }
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -285,9 +285,13 @@
 // ReplicaEnd is one end of a replica.
 type ReplicaEnd struct {
 	_ struct{} `cbor:",toarray"`
-	// ID is the same at all instances that noticed the end.
-	ID  uint64
-	Age time.Duration
+	// Replica is the digest of the replica's incarnation, and Round tells its ends
+	// apart.
+	Replica uint64
+	Round   int
+	Age     time.Duration
+	// Void is true if the replica has proved since that it lives.
+	Void bool
 }
 
 // ModelVersion is a weight version of a model.
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -63,7 +63,7 @@
 	for _, c := range told {
 		rec := poison.Record{Content: c.Content}
 		for _, e := range c.Ends {
-			rec.Ends = append(rec.Ends, poison.End{ID: e.ID, At: now.Add(-e.Age)})
+			rec.Ends = append(rec.Ends, poison.End{Replica: e.Replica, Round: e.Round, At: now.Add(-e.Age), Void: e.Void})
 		}
 		if c.ClearedAge >= 0 {
 			rec.Cleared = now.Add(-c.ClearedAge)
@@ -94,7 +94,7 @@
 	for _, rec := range cr.register.Since(now, since) {
 		c := message.ContentEnds{Content: rec.Content, ClearedAge: -1}
 		for _, e := range rec.Ends {
-			c.Ends = append(c.Ends, message.ReplicaEnd{ID: e.ID, Age: now.Sub(e.At)})
+			c.Ends = append(c.Ends, message.ReplicaEnd{Replica: e.Replica, Round: e.Round, Age: now.Sub(e.At), Void: e.Void})
 		}
 		if !rec.Cleared.IsZero() {
 			c.ClearedAge = now.Sub(rec.Cleared)
@@ -152,6 +152,17 @@
 	cr.register.Succeeded(now, c, began)
 }
 
+// lives takes an answer of a replica on a connection that was first used at opened.
+func (cr *Crashes) lives(now time.Time, replica string, incarnation int64, opened time.Time) {
+	cr.mu.Lock()
+	void := cr.register.Lives(now, replica, incarnation, opened)
+	cr.mu.Unlock()
+	if void {
+		_ = cr.Logger.Log("msg", "A replica lives whose end was counted.", "replica", replica, "incarnation", incarnation)
+		cr.keep()
+	}
+}
+
 func (cr *Crashes) empty() bool {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
@@ -186,8 +197,9 @@
 }
 
 type keptEnd struct {
-	ID uint64    `json:"id"`
-	At time.Time `json:"at"`
+	Replica uint64    `json:"replica"`
+	Round   int       `json:"round"`
+	At      time.Time `json:"at"`
 }
 
 // TakeRecords takes what instances, also earlier ones, kept on the platform.
@@ -204,7 +216,7 @@
 		for _, c := range k.Contents {
 			rec := poison.Record{Content: c.Content}
 			for _, e := range c.Ends {
-				rec.Ends = append(rec.Ends, poison.End{ID: e.ID, At: now.Add(-max(0, wall.Sub(e.At)))})
+				rec.Ends = append(rec.Ends, poison.End{Replica: e.Replica, Round: e.Round, At: now.Add(-max(0, wall.Sub(e.At)))})
 			}
 			cr.hear(now, rec, "platform")
 		}
@@ -264,7 +276,9 @@
 	for _, rec := range records {
 		c := keptContent{Content: rec.Content}
 		for _, e := range rec.Ends {
-			c.Ends = append(c.Ends, keptEnd{e.ID, wall.Add(-now.Sub(e.At))})
+			if !e.Void {
+				c.Ends = append(c.Ends, keptEnd{e.Replica, e.Round, wall.Add(-now.Sub(e.At))})
+			}
 		}
 		k.Contents = append(k.Contents, c)
 	}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,7 +222,9 @@
 	up := c.relay.Upstreams
 	att := &attempt.Attempt{}
 	began := c.relay.Now()
-	resp, err := t.Transport.RoundTrip(c.request(guard.With(c.ctx, att), t))
+	var conn connection
+	ctx := guard.With(c.ctx, att, func(used *guard.Conn) { conn.opened.Store(used.FirstUse(c.relay.Now())) })
+	resp, err := t.Transport.RoundTrip(c.request(ctx, t))
 	now := c.relay.Now()
 	if err != nil {
 		// No write may follow what is said of the request from here on.
@@ -254,9 +257,12 @@
 		return false, att.Run(), err
 	}
 	defer resp.Body.Close()
+	c.relay.Crashes.lives(now, t.ID, t.Incarnation, conn.firstUse(now))
 	up.FirstAnswer(now, t)
 	c.note.firstByte = now.Sub(c.began)
-	c.pass(t, resp, began)
+	if c.pass(t, resp, began) {
+		c.relay.Crashes.lives(c.relay.Now(), t.ID, t.Incarnation, conn.firstUse(now))
+	}
 	return true, attempt.Ran, nil
 }
 
@@ -269,6 +275,17 @@
 	_ = body.Close()
 }
 
+// connection is the one that carries a try.
+type connection struct{ opened atomic.Pointer[time.Time] }
+
+// firstUse returns when the connection was first used, or now if it is not known.
+func (n *connection) firstUse(now time.Time) time.Time {
+	if at := n.opened.Load(); at != nil {
+		return *at
+	}
+	return now
+}
+
 // learn takes what an answer says of its replica.
 func (c *call) learn(now time.Time, t *upstreams.Ticket, reply outside.Reply) {
 	up := c.relay.Upstreams
@@ -378,8 +395,9 @@
 var buffers = sync.Pool{New: func() any { return new([8 << 10]byte) }}
 
 // pass copies the answer to the caller as it comes. If it breaks off, the
-// caller's connection is closed so that the answer does not look complete.
-func (c *call) pass(t *upstreams.Ticket, resp *http.Response, began time.Time) {
+// caller's connection is closed so that the answer does not look complete. It
+// reports whether the answer was whole.
+func (c *call) pass(t *upstreams.Ticket, resp *http.Response, began time.Time) bool {
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	dropHopHeaders(resp.Header)
@@ -404,7 +422,7 @@
 			}
 			if werr != nil {
 				c.breakOff(t, "caller-left", false, began)
-				return
+				return false
 			}
 		}
 		if err == io.EOF {
@@ -414,11 +432,11 @@
 			if resp.StatusCode < http.StatusMultipleChoices && !c.relay.Crashes.empty() {
 				c.relay.Crashes.succeeded(c.relay.Now(), c.content(), began)
 			}
-			return
+			return true
 		}
 		if err != nil {
 			c.breakOff(t, "answer-broke-off", true, began)
-			return
+			return false
 		}
 	}
 }
