Try a request that was at three ends again after five seconds, at one instance

What callers would see: a look-up that many callers ask for is refused for one to two minutes, if it happens to run at three replicas that end within a moment. Cause: by then nothing tells it from a request that takes replicas down, and the first trial came when the bar was over. Change: the instance that noticed the third end allows one trial after five seconds; the others wait for its outcome or the end of their longer bar. So there is one trial for all instances, which the bound on retries allows (three).

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -23,6 +23,9 @@
 	// openLife is how long a run without an answer may turn out to have ended with
 	// its replica. The list of replicas tells after three heartbeats and its lag.
 	openLife = 15 * time.Second
+	// firstTrial is when the instance that noticed the last end allows the first
+	// trial, for all: an innocent request may have been at three ends of one moment.
+	firstTrial = 5 * time.Second
 	// answerMargin is how long an answer may still arrive that was sent before the
 	// replica ended.
 	answerMargin = 200 * time.Millisecond
@@ -87,6 +90,8 @@
 	// was ever by a run of this instance.
 	changed time.Time
 	noticed bool
+	// ownLast is the newest end that this instance noticed.
+	ownLast time.Time
 	// trial is the request that may run until trialUntil although the record bars
 	// its content.
 	trial      string
@@ -135,7 +140,7 @@
 	}
 	rec.Ends = append(rec.Ends, End{Replica: replica, Round: round, At: now})
 	g.note(now, rec)
-	rec.noticed = true
+	rec.noticed, rec.ownLast = true, now
 }
 
 // Digest names a replica's incarnation.
@@ -212,8 +217,13 @@
 	if !known || rec.count() < mostEnds || rec.expired(now) {
 		return time.Time{}, false
 	}
+	last := rec.last()
+	if rec.count() == mostEnds && rec.ownLast.Equal(last) {
+		until = last.Add(firstTrial)
+		return until, now.Before(until)
+	}
 	bar := bars[min(rec.count()-mostEnds, len(bars)-1)]
-	until = rec.last().Add(bar + time.Duration(g.spread(c)*float64(bar)))
+	until = last.Add(bar + time.Duration(g.spread(c)*float64(bar)))
 	return until, now.Before(until)
 }
 
