--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -125,3 +125,37 @@
 		}
 	}
 }
+
+// fill has a register of as many requests as are kept, with one end each.
+func fill() *Register {
+	g := &Register{}
+	for i := range maxRecords {
+		g.Ended(at("0"), Run{Content: content(strconv.Itoa(i)), Replica: "r" + strconv.Itoa(i%64), Began: at("0")})
+	}
+	return g
+}
+
+// BenchmarkLives is the cost of an answer while as many requests as are kept were
+// at an end.
+func BenchmarkLives(b *testing.B) {
+	g := fill()
+	for b.Loop() {
+		g.Lives(at("1"), "other", 0, at("0"))
+	}
+}
+
+// BenchmarkSince is the cost of an exchange with a peer that heard all.
+func BenchmarkSince(b *testing.B) {
+	g := fill()
+	for b.Loop() {
+		g.Since(at("2"), at("1"))
+	}
+}
+
+// BenchmarkFill is the memory of as many requests as are kept.
+func BenchmarkFill(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		fill()
+	}
+}
--- a/operator/verb/why.go
+++ b/operator/verb/why.go
@@ -47,7 +47,7 @@
 	"full":                     {"All replicas that could take it were full for as long as it could wait.", []string{"A replica left the list."}},
 	"no-replica-took-it":       {"The replicas that it was offered to refused it or could not be reached.", nil},
 	"not-started-in-time":      {"Its time was over before a replica took it.", nil},
-	"crashes-replicas":         {"Three replicas in a row broke off while they ran the same content.", nil},
+	"crashes-replicas":         {"Three replicas or more ended while they ran the same request, at this instance or others.", []string{"Counted an end of a replica against a request.", "A request that takes down replicas is barred."}},
 	"answer-lost":              {"It was sent to a replica and no whole answer came; it may have run.", nil},
 	"timeout":                  {"The caller's or the route's time was over while a replica had it; it may have run.", nil},
 	"answer-broke-off":         {"The replica broke off in the middle of its answer.", nil},
