Name the marking of a changed record for what it does

Cause: a last read; "note notes" says nothing. Ruled out: other renames; the words of the register are used alike in its callers. Change: a method of core/poison is called touch.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -139,7 +139,7 @@
 		round = max(round, e.Round+1)
 	}
 	rec.Ends = append(rec.Ends, End{Replica: replica, Round: round, At: now})
-	g.note(now, rec)
+	g.touch(now, rec)
 	rec.noticed, rec.ownLast = true, now
 }
 
@@ -161,7 +161,7 @@
 			e := &rec.Ends[i]
 			if e.Replica == digest && !e.Void && opened.Before(e.At) && now.Sub(e.At) > answerMargin {
 				e.Void, any = true, true
-				g.note(now, rec)
+				g.touch(now, rec)
 				rec.noticed = true
 			}
 		}
@@ -204,12 +204,12 @@
 	if !ok || !rec.clear(began) {
 		return
 	}
-	g.note(now, rec)
+	g.touch(now, rec)
 	rec.noticed = true
 }
 
-// note notes a change of a record.
-func (g *Register) note(now time.Time, rec *record) { g.changed, rec.changed = now, now }
+// touch marks a record as changed.
+func (g *Register) touch(now time.Time, rec *record) { g.changed, rec.changed = now, now }
 
 // Barred returns until when a content must not run; ok is false if it may.
 func (g *Register) Barred(now time.Time, c suspect.Content) (until time.Time, ok bool) {
@@ -270,7 +270,7 @@
 	}
 	switch {
 	case changed:
-		g.note(now, rec)
+		g.touch(now, rec)
 	case len(rec.Ends) == 0 && rec.Cleared.IsZero():
 		delete(g.records, heard.Content)
 	}
