Keep the requests with the most ends on the platform

Cause: the record for the platform has 200 requests, taken in no order; after many replicas ended at once a barred one could be left out for those with two ends. Ruled out: a longer record; each write has it whole. Change: the ones with the most ends, then the newest, come first.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -4,7 +4,9 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -294,14 +296,21 @@
 }
 
 // Kept returns the records that must outlive all instances: those of requests
-// that were there at more than one end.
+// that were there at more than one end, the ones with the most ends first.
 func (g *Register) Kept(now time.Time) []Record {
-	var out []Record
+	var some []*record
 	for _, rec := range g.records {
-		if rec.count() > 1 && !rec.expired(now) && len(out) < maxKept {
-			out = append(out, rec.copy())
+		if rec.count() > 1 && !rec.expired(now) {
+			some = append(some, rec)
 		}
 	}
+	slices.SortFunc(some, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.count(), a.count()), b.last().Compare(a.last()))
+	})
+	var out []Record
+	for _, rec := range some[:min(len(some), maxKept)] {
+		out = append(out, rec.copy())
+	}
 	return out
 }
 
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -88,6 +88,19 @@
 		g.Sweep(at(args[1]))
 	case "empty":
 		return []string{strconv.FormatBool(g.Empty())}
+	case "flood-pairs":
+		n, _ := strconv.Atoi(args[2])
+		for i := range n {
+			for _, replica := range []string{"r1", "r2"} {
+				g.Ended(at(args[1]), Run{Content: content("pair" + strconv.Itoa(i)), Replica: replica, Began: at(args[1])})
+			}
+		}
+	case "kept-has":
+		has := false
+		for _, rec := range g.Kept(at(args[1])) {
+			has = has || rec.Content == content(args[2])
+		}
+		return []string{strconv.FormatBool(has)}
 	case "flood":
 		n, _ := strconv.Atoi(args[2])
 		for i := range n {
