Look a route up by its prefix, whatever the number of routes

Cause: Match went through all routes of a host, and configurations grow by hundreds of routes. Change: a map of prefixes for each host, asked for each slash of the path from the longest on; prefixes end with a slash, as the platform's pages say. Ruled out: a tree, which the few slashes of a path don't need. Not measured by itself; the scripts of core/route pass unchanged.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -145,8 +145,9 @@
 	Limits   Limits
 	Services map[string]Service
 	// Keyed is true if the configuration has accounts.
-	Keyed    bool
-	byHost   map[string][]*Route
+	Keyed bool
+	// byHost has the routes of each host by their prefixes.
+	byHost   map[string]map[string]*Route
 	accounts map[string]Account
 }
 
@@ -154,28 +155,33 @@
 func NewTable(version uint64, limits Limits, routes []Route, services []Service, accounts map[string]Account, keyed bool) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Services: map[string]Service{},
-		Keyed: keyed, byHost: map[string][]*Route{}, accounts: accounts,
+		Keyed: keyed, byHost: map[string]map[string]*Route{}, accounts: accounts,
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
-		t.byHost[host] = append(t.byHost[host], &routes[i])
-	}
-	for _, all := range t.byHost {
-		sort.SliceStable(all, func(i, j int) bool { return len(all[i].Prefix) > len(all[j].Prefix) })
+		if t.byHost[host] == nil {
+			t.byHost[host] = map[string]*Route{}
+		}
+		// Of equal prefixes the first one counts.
+		if _, ok := t.byHost[host][routes[i].Prefix]; !ok {
+			t.byHost[host][routes[i].Prefix] = &routes[i]
+		}
 	}
 	return t
 }
 
 // Match returns the route of the host with the longest prefix that begins the path.
+// Prefixes end with a slash, so its time does not grow with the number of routes.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if name, _, ok := strings.Cut(host, ":"); ok {
 		host = name
 	}
-	for _, r := range t.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	routes := t.byHost[strings.ToLower(host)]
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if r, ok := routes[path[:end]]; ok {
 			return r, true
 		}
 	}
