Read the clock through the C library, without a system call

Cause: the clock that counts suspended time was read by a system call, several times for each request and each exchange. Ruled out: the monotonic clock of the runtime, which stands still while the machine is suspended. Change: clock_gettime of the C library; the system call stays for builds without cgo.

--- a/shell/clock/clock.go
+++ b/shell/clock/clock.go
@@ -2,18 +2,14 @@
 // was suspended, so that leases and proofs grow old meanwhile.
 package clock
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // Now returns the time since the machine's start as a time. It never jumps and
 // has no relation to the time of day.
 func Now() time.Time {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+	seconds, nanos, err := bootTime()
+	if err != nil {
 		panic("reading the clock: " + err.Error())
 	}
-	return time.Unix(ts.Sec, ts.Nsec)
+	return time.Unix(seconds, nanos)
 }
