--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -98,6 +98,8 @@
 	// mean is that of the time to a first answer of requests that fetched here.
 	mean   time.Duration
 	meanAt time.Time
+	// journal is for the instances that follow this one.
+	journal journal
 }
 
 type saving struct {
@@ -186,6 +188,7 @@
 	if l.Epoch != s.epoch {
 		s.reset(l.Epoch)
 	}
+	s.note(l.Held)
 	s.last, s.listed, s.synced, s.held = l.Last, true, true, l.Held
 	s.used = 0
 	for _, tokens := range l.Held {
@@ -234,11 +237,27 @@
 	}
 }
 
+// note keeps what differs from new contents in the journal.
+func (s *shelf) note(held map[Part]int) {
+	for part := range s.held {
+		if held[part] == 0 {
+			s.journal.add(Event{Part: part, Gone: true})
+		}
+	}
+	for part, tokens := range held {
+		if s.held[part] != tokens {
+			s.journal.add(Event{Part: part, Tokens: tokens})
+		}
+	}
+}
+
 func (s *shelf) reset(epoch uint64) {
-	*s = shelf{Space: s.Space, epoch: epoch, held: map[Part]int{}, saving: map[Part]saving{}}
+	run := s.journal.run + 1
+	*s = shelf{Space: s.Space, epoch: epoch, held: map[Part]int{}, saving: map[Part]saving{}, journal: journal{run: run}}
 }
 
 func (s *shelf) apply(ev Event) {
+	s.journal.add(ev)
 	delete(s.saving, ev.Part)
 	delete(s.partial, ev.Part)
 	if old, ok := s.held[ev.Part]; ok {
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -18,8 +18,15 @@
 	next    uint64
 	loaded  bool
 	proof   time.Time
+	// deleted has the last deletions in the order in which they were taken, and
+	// deletedFrom the offset from which they are complete.
+	deleted     []Record
+	deletedFrom uint64
 }
 
+// deletedLimit bounds the deletions that are kept.
+const deletedLimit = 1024
+
 // Next returns the offset of the first record that was not read yet.
 func (f *Feed) Next() uint64 { return f.next }
 
@@ -35,6 +42,37 @@
 	return out
 }
 
+// Since returns the records that changed the view at or after an offset; ok is
+// false if the deletions since then are no longer known.
+func (f *Feed) Since(offset uint64) (changed []Record, ok bool) {
+	if !f.loaded || offset < f.deletedFrom {
+		return nil, false
+	}
+	for _, rec := range f.deleted {
+		if rec.Offset >= offset {
+			changed = append(changed, rec)
+		}
+	}
+	for _, rec := range f.records {
+		if rec.Offset >= offset {
+			changed = append(changed, rec)
+		}
+	}
+	return changed, true
+}
+
+// drop keeps a deletion for Since.
+func (f *Feed) drop(rec Record) {
+	f.deleted = append(f.deleted, rec)
+	if len(f.deleted) < 2*deletedLimit {
+		return
+	}
+	for _, old := range f.deleted[:deletedLimit] {
+		f.deletedFrom = max(f.deletedFrom, old.Offset+1)
+	}
+	f.deleted = append([]Record(nil), f.deleted[deletedLimit:]...)
+}
+
 // Append takes records read from the topic up to next, and returns those that
 // change the view.
 func (f *Feed) Append(records []Record, next uint64) []Record {
@@ -63,9 +101,14 @@
 	for key, rec := range f.records {
 		if !listed[key] && rec.Offset < next {
 			delete(f.records, key)
-			changed = append(changed, Record{Key: key, Offset: next})
+			gone := Record{Key: key, Offset: next}
+			f.drop(gone)
+			changed = append(changed, gone)
 		}
 	}
+	if !f.loaded {
+		f.deletedFrom = next
+	}
 	f.loaded = true
 	return append(changed, f.Append(records, next)...)
 }
@@ -78,6 +121,9 @@
 	}
 	if len(rec.Value) == 0 {
 		delete(f.records, rec.Key)
+		if ok {
+			f.drop(rec)
+		}
 		return ok
 	}
 	if f.records == nil {
--- /dev/null
+++ b/core/neighbours/fleet_test.go
@@ -0,0 +1,384 @@
+package neighbours
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusfold.dev/core/crew"
+	"crocusfold.dev/core/membership"
+	"crocusfold.dev/script"
+)
+
+// TestFleet plays whole fleets of instances that call each other:
+//
+//	fleet SIZE CENTRES [known]: all start at once; with known, each knows all others
+//	lose SHARE, late SHARE: messages that get lost, or take 300 ms
+//	run TIME
+//	kill, freeze or wake NAMES; restart NAMES: with the same seeds
+//	cut CENTRE, heal: no message into or out of a data centre passes
+//	one-way NAME: its messages arrive, but none reaches it
+//	seeds NAMES: those of instances that start later
+//	add COUNT CENTRE
+//	tell NAME: a fact that each passes on; heard-in TIME: whether all that live have it
+//	members, roots, readers, store-readers, neighbours, calls: see show
+func TestFleet(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(t *testing.T) func([]string) []string {
+		f := &fleet{t: t, random: rand.New(rand.NewPCG(1, 2)), now: time.UnixMilli(1_000_000)}
+		return f.do
+	})
+}
+
+const (
+	latency  = 2 * time.Millisecond
+	lateness = 300 * time.Millisecond
+	timeout  = 500 * time.Millisecond
+	step     = 20 * time.Millisecond
+)
+
+type node struct {
+	Neighbours
+	entry  membership.Entry
+	seeds  []netip.AddrPort
+	up     bool
+	frozen bool
+	deaf   bool
+	nudged bool
+	fact   int
+	calls  int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type fleet struct {
+	t          *testing.T
+	random     *rand.Rand
+	now        time.Time
+	nodes      []*node
+	byAddress  map[netip.AddrPort]*node
+	events     []event
+	lose, late float64
+	cut        string
+	seeds      []netip.AddrPort
+	told       int
+	process    uint64
+}
+
+func (f *fleet) do(args []string) []string {
+	switch args[0] {
+	case "fleet":
+		f.grow(atoi(args[1]), atoi(args[2]), len(args) > 3)
+	case "lose":
+		f.lose, _ = strconv.ParseFloat(args[1], 64)
+	case "late":
+		f.late, _ = strconv.ParseFloat(args[1], 64)
+	case "run":
+		f.run(duration(args[1]))
+	case "kill", "freeze", "wake", "restart", "one-way":
+		for _, n := range f.named(args[1:]) {
+			f.change(args[0], n)
+		}
+	case "cut":
+		f.cut = args[1]
+	case "heal":
+		f.cut = ""
+		for _, n := range f.nodes {
+			n.deaf = false
+		}
+	case "seeds":
+		f.seeds = nil
+		for _, n := range f.named(args[1:]) {
+			f.seeds = append(f.seeds, n.entry.Address)
+		}
+	case "add":
+		for range atoi(args[1]) {
+			f.begin(f.add(args[2], 200))
+		}
+	case "tell":
+		f.told++
+		n := f.named(args[1:])[0]
+		n.fact, n.nudged = f.told, true
+	case "heard-in":
+		return []string{fmt.Sprint(f.heardIn(duration(args[1])))}
+	default:
+		return f.show(args)
+	}
+	return nil
+}
+
+// show prints: members KNOWN, how many instances know fewer living others than
+// KNOWN; neighbours MOST, how many call and are called by more; calls MOST, whether
+// the mean number of calls of an instance since the last look is at most MOST; roots
+// MOST, whether there are no more; readers and store-readers, how many there are.
+func (f *fleet) show(args []string) []string {
+	count := 0
+	for _, n := range f.nodes {
+		if !n.up || n.frozen {
+			continue
+		}
+		switch args[0] {
+		case "members":
+			if n.Living() < atoi(args[1]) {
+				count++
+			}
+		case "roots":
+			if n.Root() {
+				count++
+			}
+		case "readers":
+			if n.Reads(f.now, true) {
+				count++
+			}
+		case "store-readers":
+			if n.StoreReader(f.now, true) == n.entry.Address {
+				count++
+			}
+		case "neighbours":
+			near := 0
+			for _, p := range n.peers {
+				if p.answers(f.now) {
+					near++
+				}
+			}
+			if near > atoi(args[1]) {
+				count++
+			}
+		}
+	}
+	if args[0] == "roots" {
+		return []string{fmt.Sprint(count <= atoi(args[1]))}
+	}
+	if args[0] == "calls" {
+		sum := 0
+		for _, n := range f.nodes {
+			sum += n.calls
+			n.calls = 0
+		}
+		return []string{fmt.Sprint(float64(sum)/float64(len(f.nodes)) <= float64(atoi(args[1])))}
+	}
+	return []string{strconv.Itoa(count)}
+}
+
+func (f *fleet) grow(size, centres int, known bool) {
+	f.byAddress = map[netip.AddrPort]*node{}
+	for i := range size {
+		power := 200
+		if i < 3*centres {
+			power = 800
+		}
+		f.add(string(rune('a'+i%centres)), power)
+	}
+	for _, n := range f.nodes[:3] {
+		f.seeds = append(f.seeds, n.entry.Address)
+	}
+	for _, n := range f.nodes {
+		f.begin(n)
+	}
+	if !known {
+		return
+	}
+	for _, n := range f.nodes {
+		for _, o := range f.nodes {
+			n.members.Merge(f.now, o.entry)
+		}
+	}
+}
+
+func (f *fleet) add(centre string, power int) *node {
+	i := len(f.nodes) + 1
+	n := &node{entry: membership.Entry{
+		Name: fmt.Sprintf("n%d", i), DataCentre: centre, Power: power,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
+	}}
+	f.nodes = append(f.nodes, n)
+	f.byAddress[n.entry.Address] = n
+	return n
+}
+
+// begin starts an instance's process.
+func (f *fleet) begin(n *node) {
+	f.process++
+	n.seeds = f.seeds
+	n.entry.Revision++
+	n.Start(f.now, n.entry, f.process, n.seeds)
+	n.up, n.frozen, n.fact = true, false, 0
+}
+
+func (f *fleet) named(names []string) []*node {
+	var out []*node
+	for _, name := range names {
+		from, to, ranged := strings.Cut(strings.ReplaceAll(name, "n", ""), "-")
+		if !ranged {
+			to = from
+		}
+		for i := atoi(from); i <= atoi(to); i++ {
+			out = append(out, f.nodes[i-1])
+		}
+	}
+	return out
+}
+
+func (f *fleet) change(what string, n *node) {
+	switch what {
+	case "kill":
+		n.up = false
+	case "freeze":
+		n.frozen = true
+	case "wake":
+		n.frozen = false
+	case "restart":
+		f.begin(n)
+	case "one-way":
+		n.deaf = true
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		f.deliver()
+		for _, n := range f.nodes {
+			if n.up && !n.frozen {
+				f.tick(n)
+			}
+		}
+	}
+}
+
+func (f *fleet) heardIn(d time.Duration) bool {
+	f.run(d)
+	for _, n := range f.nodes {
+		if n.up && !n.frozen && n.fact != f.told {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) deliver() {
+	for len(f.events) > 0 && !f.events[0].at.After(f.now) {
+		ev := f.events[0]
+		f.events = f.events[1:]
+		ev.do()
+	}
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	at := f.now.Add(d)
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at.After(at) })
+	f.events = append(f.events, event{})
+	copy(f.events[i+1:], f.events[i:])
+	f.events[i] = event{at, do}
+}
+
+// tick makes the calls that are due.
+func (f *fleet) tick(n *node) {
+	nudged := n.nudged
+	n.nudged = false
+	calls, _ := n.Due(f.now, nudged)
+	sort.Slice(calls, func(i, j int) bool { return calls[i].Address.Compare(calls[j].Address) < 0 })
+	for _, c := range calls {
+		n.calls++
+		f.call(n, c.Address)
+	}
+}
+
+// call sends a message, which is answered, or else the call times out.
+func (f *fleet) call(n *node, to netip.AddrPort) {
+	process, done := n.start, false
+	asked, _ := n.Tell(f.now, to)
+	asked.Reaches = true
+	fact := n.fact
+	end := func(ok bool) {
+		if !done && n.up && n.start == process {
+			done = true
+			n.Done(f.now, to, ok)
+		}
+	}
+	f.after(timeout, func() { end(false) })
+	o := f.byAddress[to]
+	f.pass(n, o, func() {
+		o.Hear(f.now, asked)
+		if fact > o.fact {
+			o.Soon(f.now, asked.Address)
+		}
+		answer, _ := o.Answer(f.now, asked)
+		answer.Reaches = true
+		heard := o.fact
+		f.pass(o, n, func() {
+			if done || n.start != process {
+				return
+			}
+			end(true)
+			n.Hear(f.now, answer)
+			if heard > n.fact {
+				n.fact, n.nudged = heard, true
+			}
+		})
+	})
+}
+
+// pass carries a message from one instance to another.
+func (f *fleet) pass(from, to *node, do func()) {
+	apart := f.cut != "" && (from.entry.DataCentre == f.cut) != (to.entry.DataCentre == f.cut)
+	if apart || to.deaf || f.random.Float64() < f.lose {
+		return
+	}
+	wait := latency
+	if f.random.Float64() < f.late {
+		wait = lateness
+	}
+	f.after(wait, func() {
+		if to.up && !to.frozen {
+			do()
+		}
+	})
+}
+
+func atoi(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+func duration(s string) time.Duration {
+	d, _ := time.ParseDuration(s)
+	return d
+}
+
+// TestSharesStaySums lets a cold replica be sent to by all instances that may, at
+// fleets of any size, also when a third of the instances is silent for the others.
+func TestSharesStaySums(t *testing.T) {
+	const most = 11
+	for _, size := range []int{1, 8, 24, 88, 200, 370} {
+		all := make([]netip.AddrPort, size)
+		for i := range all {
+			all[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1)
+		}
+		for thing := range uint64(50) {
+			sum, sharers, silent := 0.0, 0, 0
+			for i, self := range all {
+				share := crew.New(self, all).Share(thing, most)
+				sum += share
+				if share > 0 {
+					sharers++
+					if i%3 == 0 {
+						silent++
+					}
+				}
+			}
+			if sum > 1.000001 || sum < 0.999999 || sharers != min(size, most) {
+				t.Fatalf("%d instances: the shares of thing %d add up to %v over %d instances", size, thing, sum, sharers)
+			}
+			if size >= most && silent == sharers {
+				t.Fatalf("%d instances: all sharers of thing %d are among the silent third", size, thing)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/overlay/overlay.go
@@ -0,0 +1,126 @@
+// Package overlay decides with which other instances an instance exchanges state,
+// so that the number of exchanges does not grow with the fleet. A few roots of
+// each data centre exchange with all other roots; each other instance exchanges
+// with one root of its data centre. A fleet of up to rootLimit instances is a full
+// mesh.
+package overlay
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// rootLimit is the number of roots in all, if there are no more data centres.
+	rootLimit = 16
+	// fallbacks is how many further members of another data centre are tried, in
+	// roots, while its roots do not answer.
+	fallbacks = 3
+)
+
+// Node is a member as the overlay sees it.
+type Node struct {
+	Address    netip.AddrPort
+	DataCentre string
+	// Power is the processor's share of a core, in thousandths: strong members
+	// become roots first.
+	Power int
+	// Down members are not relied on: they do not answer or are about to end.
+	Down bool
+}
+
+// Plan is an instance's place in the overlay.
+type Plan struct {
+	Root bool
+	// Parent is the root that an instance exchanges with which is none itself. It
+	// comes before the instance in the order of its data centre, so that no two
+	// instances are each other's parents.
+	Parent netip.AddrPort
+	// Roots are the other roots that a root exchanges with.
+	Roots []netip.AddrPort
+	// First are the members that would be roots if all answered, without self: the
+	// down ones among them are tried from time to time.
+	First []netip.AddrPort
+}
+
+// New plans for an instance that knows the others.
+func New(self Node, others []Node) Plan {
+	centres := map[string][]Node{self.DataCentre: {self}}
+	for _, n := range others {
+		centres[n.DataCentre] = append(centres[n.DataCentre], n)
+	}
+	roots := max(1, rootLimit/len(centres))
+	var plan Plan
+	for name, nodes := range centres {
+		sortNodes(nodes)
+		first := nodes[:min(roots, len(nodes))]
+		for _, n := range first {
+			if n.Address != self.Address {
+				plan.First = append(plan.First, n.Address)
+			}
+		}
+		if name == self.DataCentre {
+			plan.join(self, firstUp(nodes, roots, len(nodes)))
+			continue
+		}
+		for _, n := range firstUp(nodes, roots, (1+fallbacks)*roots) {
+			plan.Roots = append(plan.Roots, n.Address)
+		}
+	}
+	if !plan.Root {
+		plan.Roots = nil
+	}
+	return plan
+}
+
+// join takes the roots of the own data centre.
+func (p *Plan) join(self Node, roots []Node) {
+	for _, n := range roots {
+		if n.Address == self.Address {
+			p.Root = true
+		}
+	}
+	var top uint64
+	for _, n := range roots {
+		switch {
+		case n.Address == self.Address:
+		case p.Root:
+			p.Roots = append(p.Roots, n.Address)
+		default:
+			if s := xxhash.Sum64String(self.Address.String() + "\x00" + n.Address.String()); !p.Parent.IsValid() || s > top {
+				p.Parent, top = n.Address, s
+			}
+		}
+	}
+}
+
+// firstUp returns the first n nodes that are not down, of the first limit.
+func firstUp(nodes []Node, n, limit int) []Node {
+	var out []Node
+	for _, node := range nodes[:min(limit, len(nodes))] {
+		if !node.Down && len(out) < n {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// sortNodes orders the members of a data centre: strong ones first, else by a hash
+// on which all instances agree.
+func sortNodes(nodes []Node) {
+	slices.SortFunc(nodes, func(a, b Node) int {
+		if a.Power != b.Power {
+			return b.Power - a.Power
+		}
+		x, y := xxhash.Sum64String(a.Address.String()), xxhash.Sum64String(b.Address.String())
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return a.Address.Compare(b.Address)
+	})
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -348,15 +348,26 @@
 		r.grantAt = time.Time{}
 		return false
 	}
+	share := p.Crew.Share(r.hash, p.coldSharers(rate))
+	if share == 0 {
+		return true
+	}
 	if r.grantAt.IsZero() {
 		r.grant = 1
 	} else {
-		r.grant = min(1, r.grant+now.Sub(r.grantAt).Seconds()*rate/float64(max(p.Members, 1)))
+		r.grant = min(1, r.grant+now.Sub(r.grantAt).Seconds()*rate*share)
 	}
 	r.grantAt = now
 	return r.grant < 1
 }
 
+// coldSharers is the number of instances that may send to a cold replica: each may
+// begin with one request at once, beside the rate, so that their sum stays within
+// what is allowed beyond it.
+func (p *Pool) coldSharers(rate float64) int {
+	return int((p.ColdOvershoot-1)*rate + p.ColdSlack)
+}
+
 // homes returns the indexes of the two replicas that a context returns to, by
 // rendezvous hashing; -1 if there is none.
 func homes(key string, all []*replica) (first, second int) {
--- a/core/pool/herd_test.go
+++ b/core/pool/herd_test.go
@@ -48,7 +48,7 @@
 	random := rand.New(rand.NewPCG(1, seed))
 	var pools []*Pool
 	for range instances {
-		p := &Pool{Members: instances}
+		p := &Pool{}
 		for i := range replicas {
 			p.Set(Replica{ID: fmt.Sprint("r", i), Service: "s", Slots: 64, Versions: map[string]int{"m": 1}})
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"crocusfold.dev/core/crew"
 )
 
 // Replica is what the list of replicas says of one.
@@ -103,8 +105,12 @@
 type Pool struct {
 	// DataCentre is that of this instance.
 	DataCentre string
-	// Members is the number of instances that share the limits of cold replicas.
-	Members  int
+	// Crew is the instances that share the limits of cold replicas.
+	Crew crew.Crew
+	// ColdOvershoot times the rate of a cold replica and ColdSlack are what all
+	// instances together may send to it in a second.
+	ColdOvershoot, ColdSlack float64
+
 	replicas map[string]*replica
 }
 
@@ -215,6 +221,30 @@
 	return out
 }
 
+// Sum returns the work in flight of this instance and of some peers, by replica.
+func (p *Pool) Sum(now time.Time, peers map[string]bool) map[string]Load {
+	out := map[string]Load{}
+	for id, r := range p.replicas {
+		sum := r.own
+		for peer, l := range r.peers {
+			if peers[peer] && now.Sub(l.at) < peerLoadLife {
+				sum.add(l.Load)
+			}
+		}
+		if sum.Running > 0 {
+			out[id] = sum
+		}
+	}
+	return out
+}
+
+func (l *Load) add(o Load) {
+	l.Running += o.Running
+	l.Tokens += o.Tokens
+	l.Reading += o.Reading
+	l.Moving += o.Moving
+}
+
 // Load returns the work in flight at a replica, over all instances that told
 // theirs.
 func (p *Pool) Load(now time.Time, id string) Load {
@@ -224,7 +254,7 @@
 	return Load{}
 }
 
-// HearPeer takes the whole load that another instance has in flight.
+// HearPeer takes the load that another instance told, of itself or of several.
 func (p *Pool) HearPeer(now time.Time, peer string, loads map[string]Load) {
 	for id, r := range p.replicas {
 		if l, ok := loads[id]; ok {
@@ -235,6 +265,13 @@
 	}
 }
 
+// ForgetPeer drops the load that another instance told.
+func (p *Pool) ForgetPeer(peer string) {
+	for _, r := range p.replicas {
+		delete(r.peers, peer)
+	}
+}
+
 // Begin counts a request as in flight at a replica, with what it adds to the load.
 func (p *Pool) Begin(id string, l Load) {
 	if r, ok := p.replicas[id]; ok {
@@ -365,10 +402,7 @@
 	sum := r.own
 	for _, l := range r.peers {
 		if now.Sub(l.at) < peerLoadLife {
-			sum.Running += l.Running
-			sum.Tokens += l.Tokens
-			sum.Reading += l.Reading
-			sum.Moving += l.Moving
+			sum.add(l.Load)
 		}
 	}
 	return sum
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"crocusfold.dev/core/crew"
 	"crocusfold.dev/script"
 )
 
@@ -14,7 +16,8 @@
 // of memory and bear 10 requests a second while cold.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
-		p := &Pool{Members: 2, DataCentre: "dc"}
+		two := crew.New(netip.MustParseAddrPort("10.0.0.1:1"), []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")})
+		p := &Pool{Crew: two, ColdOvershoot: 1.5, ColdSlack: 5, DataCentre: "dc"}
 		return func(args []string) []string { return do(p, args) }
 	})
 }
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	renewEvery = 250 * time.Millisecond
 	// stepEvery is the pause between two looks at what there is to do.
 	stepEvery = 50 * time.Millisecond
+	// idleEvery is that pause while another instance holds the duty.
+	idleEvery = 250 * time.Millisecond
 	// reportEvery is the pause between two questions whether weights are loaded.
 	reportEvery = 80 * time.Millisecond
 	// loadLimit is how long the loading of weights is watched.
@@ -91,6 +95,8 @@
 		}
 		ordered = append(ordered, r.Ordered()...)
 	}
+	slices.SortFunc(out, func(a, b message.ReplicaVersion) int { return strings.Compare(a.Replica, b.Replica) })
+	slices.Sort(ordered)
 	return out, ordered
 }
 
@@ -107,11 +113,28 @@
 	d.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { clock.Every(ctx, renewEvery, func() { d.renew(ctx) }) })
-	wg.Go(func() { clock.Every(ctx, stepEvery, func() { d.step(ctx) }) })
-	wg.Go(func() { clock.Every(ctx, cleanEvery, func() { d.clean(ctx) }) })
+	wg.Go(func() { d.work(ctx) })
 	wg.Wait()
 }
 
+// work does the duty while it is held, and looks seldom while it is not.
+func (d *Duty) work(ctx context.Context) {
+	var cleaned time.Time
+	for ctx.Err() == nil {
+		d.step(ctx)
+		now := d.Now()
+		if now.Sub(cleaned) >= cleanEvery {
+			d.clean(ctx)
+			cleaned = now
+		}
+		pause := idleEvery
+		if d.Holds(now) {
+			pause = stepEvery
+		}
+		clock.Pause(ctx, pause)
+	}
+}
+
 // Retire gives the duty up for good, since the instance is about to end.
 func (d *Duty) Retire(ctx context.Context) {
 	d.mu.Lock()
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -21,7 +21,9 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"crocusfold.dev/core/crew"
 	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/entry/duty"
@@ -113,7 +115,7 @@
 		Bounds: &e.bounds,
 	}
 	e.topics = &topics.Topics{
-		Log: out.Log, Decoder: out.Decoder, Now: now, Logger: part("topics"),
+		Log: out.Log, Decoder: out.Decoder, Now: now, Logger: part("topics"), Bounds: &e.bounds,
 		OnUpstreams: e.upstreams.TakeReplicas,
 		OnIntent:    e.upstreams.Configure,
 	}
@@ -128,15 +130,23 @@
 		return out.Log.Put(ctx, relay.EndsPrefix+cfg.Name, value)
 	}
 	e.gossip = &gossip.Gossip{
-		Self: self, Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
+		Self: membership.Entry{
+			Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre, Power: cfg.Power,
+			Revision: uint64(time.Now().UnixMilli()),
+		},
+		Seeds: cfg.Seeds, Mesh: e.mesh, Topics: e.topics, Upstreams: e.upstreams,
 		Now: now, Logger: part("peers"), Duty: e.duty, Crashes: e.crashes,
 	}
 	e.topics.OnInstances, e.topics.Reads = e.takeInstances, e.gossip.Reads
+	e.topics.Alone, e.topics.OnNews, e.crashes.Want = e.gossip.Alone, e.gossip.Nudge, e.topics.WantInstances
 	e.crashes.Nudge, e.upstreams.OnEnded = e.gossip.Nudge, e.crashes.ReplicaEnded
-	e.upstreams.Cleans = e.duty.Holds
+	e.upstreams.Cleans, e.upstreams.Follows = e.duty.Holds, e.gossip.FollowsStores
 	e.duty.Nudge, e.duty.Rank, e.duty.PeersFetch = e.gossip.Nudge, e.gossip.Rank, e.gossip.Fetched
 	e.budgets = &retry.Budgets{Share: cfg.Bounds.RetryShare, Slack: cfg.Bounds.RetrySlack}
-	e.gossip.OnMembers = e.budgets.SetMembers
+	e.gossip.OnCrew = func(c crew.Crew) {
+		e.upstreams.SetCrew(c)
+		e.budgets.SetMembers(c.Size())
+	}
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: out.Dialect, Topics: e.topics, Upstreams: e.upstreams,
 		Budgets: e.budgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -1,11 +1,11 @@
-// Package gossip finds the other entry instances and shares state with them:
-// how fresh each view is, the work in flight, and replicas that change weights.
+// Package gossip shares state with the other entry instances: how fresh each view
+// is, the work in flight, and replicas that change weights. Each instance exchanges
+// with a few others, as core/neighbours decides; what it hears it passes on.
 package gossip
 
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -13,7 +13,10 @@
 
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/crew"
 	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/membership"
+	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/entry/mesh"
 	"crocusfold.dev/entry/message"
@@ -22,29 +25,17 @@
 	"crocusfold.dev/entry/upstreams"
 )
 
-// Times of the exchange.
 const (
-	// every is the pause between two exchanges with a peer.
-	every = 160 * time.Millisecond
 	// callLimit bounds one exchange.
 	callLimit = 500 * time.Millisecond
-	// slowest is the pause between tries at a peer that does not answer.
-	slowest = time.Second
-	// peerLife is how long a silent peer counts as one that answers.
-	peerLife = 1200 * time.Millisecond
-	// knownEvery is the pause between two messages that list the known instances.
-	knownEvery = time.Second
-	// memberLife is how long a silent peer is still asked.
-	memberLife = 30 * time.Second
-	// lostLife is how long a peer that fell silent without having left counts as one
-	// that shares limits, since it may live behind a cut; regions may lose each
-	// other for an hour.
-	lostLife = 2 * time.Hour
+	// shareEvery is how often it is told which instances share limits.
+	shareEvery = 200 * time.Millisecond
 )
 
 // Gossip is safe for concurrent use. The exported fields must be set before Run.
 type Gossip struct {
-	Self      roster.Member
+	Self membership.Entry
+	// Seeds are addresses of other instances, which may be stale.
 	Seeds     []netip.AddrPort
 	Mesh      *mesh.Mesh
 	Topics    *topics.Topics
@@ -54,20 +45,21 @@
 	// Duty is this instance's part in the duties; it names the replicas that get
 	// no new work.
 	Duty Duty
-	// OnMembers takes the number of instances that share limits.
-	OnMembers func(n int)
+	// OnCrew takes the instances that share limits.
+	OnCrew func(c crew.Crew)
 	// Crashes is what is told and heard of requests that take down replicas.
 	Crashes Crashes
 
-	mu    sync.Mutex
-	peers map[netip.AddrPort]*peer
-	// lost has the peers that fell silent without having left, and when.
-	lost    map[netip.AddrPort]time.Time
-	leaving bool
-	// toldKnown is when the known instances were last told.
-	toldKnown time.Time
-	nudge     chan struct{}
-	start     uint64
+	mu         sync.Mutex
+	neighbours neighbours.Neighbours
+	peers      map[netip.AddrPort]*peer
+	out        relayed
+	// pulling has the topics that are being asked for.
+	pulling map[outside.Topic]bool
+	// nudge asks for an exchange with all neighbours, wake for a look at who is due.
+	nudge, wake chan struct{}
+	// shared is when the instances that share limits were last told.
+	shared time.Time
 }
 
 // Duty is what is told and heard of the duties.
@@ -85,43 +77,44 @@
 
 // Crashes is what is told and heard of requests that take down replicas.
 type Crashes interface {
-	Hear(now time.Time, told []message.ContentEnds)
+	// Hear reports whether something was news.
+	Hear(now time.Time, told []message.ContentEnds) bool
 	// Tell returns what changed since a moment.
 	Tell(now, since time.Time) []message.ContentEnds
 }
 
+// peer is what an instance told last, beside its place among the instances.
 type peer struct {
-	roster.Member
-	heard  time.Time
-	added  time.Time
-	failed int
-	next   time.Time
-	busy   bool
-	// fetches is what the peer last told of the context that it may fetch.
+	// fetches is what it told of the context that may be fetched.
 	fetches []message.ModelVersion
-	// start is the peer's process, and synced the moment up to which it was told
-	// what this instance knows of requests that take down replicas.
-	start  uint64
-	synced time.Time
-	// again asks for an exchange right after the one that is running.
-	again bool
-	// holder and reaches are what it last told of the duties and the log.
-	holder, reaches bool
+	// positions says how far its changes of stores were taken.
+	positions map[string]message.StorePosition
+	holder    bool
+}
+
+// relayed is what the holder of the duty last told, directly or through others.
+type relayed struct {
+	at      time.Time
+	out     []message.ReplicaVersion
+	ordered []string
 }
 
 // Attach answers the exchanges of peers.
 func (g *Gossip) Attach() {
-	g.nudge = make(chan struct{}, 1)
-	g.start = rand.Uint64()
-	g.peers, g.lost = map[netip.AddrPort]*peer{}, map[netip.AddrPort]time.Time{}
+	g.nudge, g.wake = make(chan struct{}, 1), make(chan struct{}, 1)
+	g.peers, g.pulling = map[netip.AddrPort]*peer{}, map[outside.Topic]bool{}
+	g.neighbours.Start(g.Now(), g.Self, rand.Uint64(), g.Seeds)
 	g.Mesh.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		now := g.Now()
 		switch m := msg.(type) {
 		case message.Gossip:
 			g.hear(now, m)
-			return g.state(now, g.toldUpTo(m.Address)), true, nil
+			if g.Topics.Ahead(m.Views) {
+				g.soon(now, m.Address)
+			}
+			return g.answer(now, m), true, nil
 		case message.ViewAsk:
-			c, _ := g.Topics.Copy(now, outside.Topic(m.Topic))
+			c, _ := g.Topics.Copy(now, outside.Topic(m.Topic), m.From)
 			return c, true, nil
 		default:
 			return nil, false, nil
@@ -129,34 +122,38 @@
 	})
 }
 
-// TakeInstances applies changes of the list of instances.
+// TakeInstances applies changes of the platform's list of instances.
 func (g *Gossip) TakeInstances(changed []feed.Record) {
 	now := g.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, rec := range changed {
-		var m roster.Member
 		if len(rec.Value) == 0 {
 			continue
 		}
+		var m roster.Member
 		if err := json.Unmarshal(rec.Value, &m); err != nil {
 			_ = g.Logger.Log("msg", "Ignored an entry of the list of instances.", "key", rec.Key, "err", err)
 			continue
 		}
-		g.add(now, m)
+		g.neighbours.List(now, m.Address)
 	}
 }
 
 // Record is this instance's entry in the list of instances.
-func (g *Gossip) Record() ([]byte, error) { return json.Marshal(g.Self) }
+func (g *Gossip) Record() ([]byte, error) {
+	return json.Marshal(roster.Member{Name: g.Self.Name, Address: g.Self.Address, DataCentre: g.Self.DataCentre})
+}
 
 // Leave tells peers from now on that this instance is leaving.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
-	g.leaving = true
+	g.neighbours.Leave(g.Now())
 	g.mu.Unlock()
 	g.Nudge()
 }
 
-// Nudge starts an exchange with all peers at once.
+// Nudge starts an exchange with all neighbours at once.
 func (g *Gossip) Nudge() {
 	select {
 	case g.nudge <- struct{}{}:
@@ -164,31 +161,9 @@
 	}
 }
 
-func (g *Gossip) add(now time.Time, m roster.Member) {
-	if !m.Address.IsValid() || m.Address == g.Self.Address {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p, ok := g.peers[m.Address]
-	if !ok {
-		p = &peer{added: now}
-		g.peers[m.Address] = p
-	}
-	if m.Name != "" {
-		p.Member = m
-	} else if p.Address != m.Address {
-		p.Member = roster.Member{Name: m.Address.String(), Address: m.Address}
-	}
-}
-
-// Run exchanges state with all peers until ctx ends.
+// Run exchanges state with the neighbours until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	for _, seed := range g.Seeds {
-		g.add(g.Now(), roster.Member{Address: seed})
-	}
-	const tick = every / 4
-	timer := time.NewTicker(tick)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		all := false
@@ -197,247 +172,101 @@
 			return
 		case <-g.nudge:
 			all = true
+		case <-g.wake:
 		case <-timer.C:
 		}
 		now := g.Now()
 		g.Upstreams.Sweep(now)
-		for _, p := range g.due(now, all) {
-			go g.exchange(ctx, p)
-		}
-	}
-}
-
-// due returns the peers to exchange with now.
-func (g *Gossip) due(now time.Time, all bool) []*peer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []*peer
-	for address, p := range g.peers {
-		silent := now.Sub(p.added)
-		if !p.heard.IsZero() {
-			silent = now.Sub(p.heard)
-		}
-		if silent > memberLife {
-			delete(g.peers, address)
-			if !p.heard.IsZero() && !p.Leaving {
-				g.lost[address] = p.heard
-			}
-			continue
-		}
-		if p.busy && all {
-			p.again = true
-		}
-		if p.busy || !all && now.Before(p.next) {
-			continue
-		}
-		p.busy = true
-		out = append(out, p)
-	}
-	g.shareLimits(now)
-	return out
-}
-
-// shareLimits tells by how many instances the limits of all are shared.
-func (g *Gossip) shareLimits(now time.Time) {
-	for address, heard := range g.lost {
-		if _, back := g.peers[address]; back || now.Sub(heard) > lostLife {
-			delete(g.lost, address)
+		calls, wait := g.due(now, all)
+		for _, c := range calls {
+			go g.exchange(ctx, c)
 		}
+		timer.Reset(wait)
 	}
-	members := 1 + len(g.peers) + len(g.lost)
-	g.Upstreams.SetMembers(members)
-	g.OnMembers(members)
 }
 
-func (g *Gossip) exchange(ctx context.Context, p *peer) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	sent := g.Now()
+// soon has a peer called at once, since a call of its own showed that it has news.
+// What it told there is not taken: it may have been under way for long.
+func (g *Gossip) soon(now time.Time, address netip.AddrPort) {
 	g.mu.Lock()
-	to, since, start := p.Member, p.synced, p.start
+	g.neighbours.Soon(now, address)
 	g.mu.Unlock()
-	ans, err := mesh.Ask[message.Gossip](ctx, g.Mesh, to, g.state(sent, since))
-	now := g.Now()
-	g.note(now, p, err)
-	if err != nil {
-		return
-	}
-	g.hear(now, ans)
-	// A process that has just taken the peer's place was told only the news.
-	if ans.Start == start {
-		g.noteTold(p, start, sent)
-	}
-	for _, topic := range g.Topics.Hear(now, sent, ans.Views, g.isReader(now, to.Name)) {
-		g.pull(ctx, to, topic)
-	}
+	g.look()
 }
 
-// pull asks a peer for the records of a topic that this instance can't read.
-func (g *Gossip) pull(ctx context.Context, from roster.Member, topic outside.Topic) {
-	sent := g.Now()
-	c, err := mesh.Ask[message.ViewCopy](ctx, g.Mesh, from, message.ViewAsk{Topic: int(topic)})
-	if err != nil {
-		_ = g.Logger.Log("msg", "A peer's view did not arrive.", "peer", from.Name, "topic", topic, "err", err)
-		return
+// look has it looked who is to be called.
+func (g *Gossip) look() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
-	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", topic, "next", c.Next, "age", c.ProofAge)
-	g.Topics.Merge(sent, topic, c)
 }
 
-func (g *Gossip) note(now time.Time, p *peer, err error) {
+// due returns the peers to call now, and the time until others are due.
+func (g *Gossip) due(now time.Time, all bool) (calls []neighbours.Call, wait time.Duration) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	p.busy = false
-	if err == nil {
-		if p.failed > 0 {
-			_ = g.Logger.Log("msg", "A peer answers again.", "peer", p.Name)
-		}
-		p.failed, p.heard, p.next = 0, now, now.Add(every)
-		if p.again {
-			p.again, p.next = false, now
-		}
-		return
+	calls, dropped := g.neighbours.Due(now, all)
+	wait = g.neighbours.Wait(now)
+	for _, address := range dropped {
+		delete(g.peers, address)
+		g.Mesh.Drop(address)
 	}
-	if p.failed == 0 {
-		_ = g.Logger.Log("msg", "A peer does not answer.", "peer", p.Name, "err", err)
-	}
-	p.failed++
-	p.next = now.Add(min(every<<min(p.failed, 8), slowest))
-}
-
-func (g *Gossip) hear(now time.Time, m message.Gossip) {
-	g.add(now, roster.Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Leaving: m.Leaving})
-	for _, known := range m.Known {
-		g.mu.Lock()
-		_, ok := g.peers[known.Address]
-		g.mu.Unlock()
-		if !ok {
-			g.add(now, known)
-		}
+	uncounted := g.neighbours.Uncounted()
+	share := now.Sub(g.shared) >= shareEvery
+	if share {
+		g.shared = now
 	}
-	released := false
-	g.mu.Lock()
-	if p, ok := g.peers[m.Address]; ok {
-		if p.start != m.Start {
-			p.start, p.synced = m.Start, time.Time{}
-		}
-		p.fetches, p.reaches = m.Fetches, m.Reaches
-		released = p.holder && !m.Holder
-		p.holder = m.Holder
+	sharing := crew.Crew{}
+	if share {
+		sharing = g.neighbours.Crew(now)
 	}
 	g.mu.Unlock()
-	if released {
-		g.Duty.HolderReleased(now)
-	}
-	switch {
-	case m.Holder:
-		g.Duty.HolderElsewhere(now, m.Ordered)
-	case m.HolderAge >= 0:
-		g.Duty.HolderElsewhere(now.Add(-m.HolderAge), nil)
+	if share {
+		g.OnCrew(sharing)
 	}
-	g.Crashes.Hear(now, m.Ends)
-	g.Upstreams.Hear(now, m)
+	g.Upstreams.ForgetPeers(uncounted)
+	return calls, wait
 }
 
-// Fetched returns the oldest weight version of a model whose context any known
-// peer may still fetch; ok is false if one has not told.
-func (g *Gossip) Fetched(model string) (oldest int, ok bool) {
+// Alone reports whether no other instance answers this one.
+func (g *Gossip) Alone() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	oldest = math.MaxInt
-	for _, p := range g.peers {
-		told := false
-		for _, f := range p.fetches {
-			if f.Model == model {
-				told, oldest = true, min(oldest, f.Version)
-			}
-		}
-		if !told {
-			return 0, false
-		}
-	}
-	return oldest, true
+	return g.neighbours.Alone(g.Now())
 }
 
-// Reads reports whether this instance is the first of its data centre that
-// answers, which reads the list of replicas for the others.
-func (g *Gossip) Reads(now time.Time) bool { return g.reader(now) == g.Self.Name }
-
-func (g *Gossip) isReader(now time.Time, name string) bool { return g.reader(now) == name }
-
-func (g *Gossip) reader(now time.Time) string {
+// Reads reports whether this instance reads the platform's topics.
+func (g *Gossip) Reads(now time.Time) bool {
+	reaches := g.Topics.Reaches()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first := g.Self.Name
-	for _, p := range g.peers {
-		live := !p.heard.IsZero() && now.Sub(p.heard) < peerLife && !p.Leaving
-		if live && p.DataCentre == g.Self.DataCentre && p.Name < first {
-			first = p.Name
-		}
-	}
-	return first
+	return g.neighbours.Reads(now, reaches)
 }
 
-// Rank returns how many instances that answer and reach the platform's log come
-// before this one by name, and whether most of the known ones answer.
-func (g *Gossip) Rank(now time.Time) (rank int, most bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	answer := 0
-	for _, p := range g.peers {
-		if p.heard.IsZero() || now.Sub(p.heard) >= peerLife {
-			continue
-		}
-		answer++
-		if !p.Leaving && p.reaches && p.Name < g.Self.Name {
-			rank++
-		}
+// FollowsStores reports whether this instance follows the stores of context
+// themselves: one of each data centre does, and the holder of the duty, who frees
+// what they hold in vain.
+func (g *Gossip) FollowsStores(now time.Time) bool {
+	if g.Duty.Holds(now) {
+		return true
 	}
-	return rank, 2*answer >= len(g.peers)
-}
-
-// toldUpTo returns the moment up to which a peer was told all.
-func (g *Gossip) toldUpTo(address netip.AddrPort) time.Time {
+	reaches := g.Topics.Reaches()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p, ok := g.peers[address]; ok {
-		return p.synced
-	}
-	return time.Time{}
+	return g.neighbours.StoreReader(now, reaches) == g.Self.Address
 }
 
-// noteTold notes that a peer's process was told all up to a moment.
-func (g *Gossip) noteTold(p *peer, start uint64, upTo time.Time) {
+// Rank returns this instance's place among the candidates for the duty, and whether
+// most of them answer.
+func (g *Gossip) Rank(now time.Time) (rank int, most bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p.start == start {
-		p.synced = upTo
-	}
+	return g.neighbours.Rank(now)
 }
 
-// state tells a peer that was told of ends up to a moment.
-func (g *Gossip) state(now, toldUpTo time.Time) message.Gossip {
-	out, ordered := g.Duty.Out()
-	m := message.Gossip{
-		Name: g.Self.Name, DataCentre: g.Self.DataCentre, Address: g.Self.Address,
-		Views: g.Topics.Views(now), Out: out, Ordered: ordered,
-		Holder: g.Duty.Holds(now), HolderAge: -1, Reaches: g.Topics.Reaches(now), Start: g.start, Ends: g.Crashes.Tell(now, toldUpTo),
-	}
-	if age, ok := g.Duty.HolderSeen(now); ok && !m.Holder {
-		m.HolderAge = age
-	}
-	g.Upstreams.Tell(&m)
+// Show returns this instance's place among the instances, for the metrics.
+func (g *Gossip) Show() (root bool, living int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.Leaving = g.leaving
-	if now.Sub(g.toldKnown) < knownEvery {
-		return m
-	}
-	g.toldKnown = now
-	for _, p := range g.peers {
-		if !p.heard.IsZero() && now.Sub(p.heard) < slowest {
-			m.Known = append(m.Known, p.Member)
-		}
-	}
-	return m
+	return g.neighbours.Root(), g.neighbours.Living()
 }
--- /dev/null
+++ b/entry/gossip/stores.go
@@ -0,0 +1,97 @@
+package gossip
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"crocusfold.dev/entry/message"
+)
+
+// source returns the instance whose changes of the stores of context this one
+// follows; the zero address if it follows the stores themselves.
+func (g *Gossip) source(now time.Time) netip.AddrPort {
+	if g.FollowsStores(now) {
+		return netip.AddrPort{}
+	}
+	reaches := g.Topics.Reaches()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.neighbours.Source(now, reaches)
+}
+
+// positions says how far a peer's changes of stores were taken.
+func (g *Gossip) positions(of netip.AddrPort) []message.StorePosition {
+	stores := g.Upstreams.Stores()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []message.StorePosition
+	for name := range stores {
+		at := message.StorePosition{Store: name}
+		if p, ok := g.peers[of]; ok && p.positions[name].Run > 0 {
+			at = p.positions[name]
+		}
+		out = append(out, at)
+	}
+	return out
+}
+
+// takeStores takes a peer's changes of stores.
+func (g *Gossip) takeStores(now time.Time, m message.Gossip) {
+	if len(m.Stores) == 0 || g.source(now) != m.Address {
+		return
+	}
+	g.Upstreams.FollowPeer(now, m.Stores, m.Clock)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[m.Address]
+	if !ok {
+		return
+	}
+	if p.positions == nil {
+		p.positions = map[string]message.StorePosition{}
+	}
+	for _, c := range m.Stores {
+		p.positions[c.Store] = message.StorePosition{Store: c.Store, Run: c.Run, End: c.End}
+	}
+}
+
+// oldestFetches joins what several groups of instances told.
+func oldestFetches(groups [][]message.ModelVersion) []message.ModelVersion {
+	var out []message.ModelVersion
+	index := map[string]int{}
+	for _, group := range groups {
+		for _, f := range group {
+			i, ok := index[f.Model]
+			if !ok {
+				index[f.Model] = len(out)
+				out = append(out, f)
+				continue
+			}
+			out[i].Version = min(out[i].Version, f.Version)
+			out[i].Instances += f.Instances
+		}
+	}
+	return out
+}
+
+// Fetched returns the oldest weight version of a model whose context any other
+// instance may still fetch; ok is false if one has not told.
+func (g *Gossip) Fetched(model string) (oldest int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	oldest = math.MaxInt
+	instances := 0
+	for address, p := range g.peers {
+		if !g.neighbours.Counts(address) {
+			continue
+		}
+		for _, f := range p.fetches {
+			if f.Model == model {
+				oldest = min(oldest, f.Version)
+				instances += f.Instances
+			}
+		}
+	}
+	return oldest, instances >= g.neighbours.Living()
+}
--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -94,6 +94,17 @@
 	return p
 }
 
+// Drop ends the connection to a peer that is not called any more.
+func (m *Mesh) Drop(address netip.AddrPort) {
+	m.mu.Lock()
+	p, ok := m.peers[address]
+	delete(m.peers, address)
+	m.mu.Unlock()
+	if ok {
+		p.Close()
+	}
+}
+
 // Close ends all connections to peers.
 func (m *Mesh) Close() {
 	m.mu.Lock()
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -2,7 +2,6 @@
 package message
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,9 +10,9 @@
 	"crocusfold.dev/core/change"
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/freshness"
+	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/order"
 	"crocusfold.dev/core/quota"
-	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/suspect"
 	"crocusfold.dev/shell/codec"
 )
@@ -202,39 +201,65 @@
 
 // Gossip tells an instance's state to another, which answers with its own.
 type Gossip struct {
-	Name       string         `json:"name"`
-	DataCentre string         `json:"data-centre"`
-	Address    netip.AddrPort `json:"address"`
-	Leaving    bool           `json:"leaving"`
+	neighbours.Hello
 	// Holder is true if the sender holds the duties; else HolderAge is how long
 	// ago it knew of a holder, negative if it does not know of one.
-	Holder    bool          `json:"holder"`
+	Holder    bool          `json:"holder,omitempty"`
 	HolderAge time.Duration `json:"holder-age"`
-	// Reaches is true if the sender itself reaches the platform's log.
-	Reaches bool `json:"reaches"`
 	// Views are those of the operators' records and of the list of replicas.
 	Views []ViewState `json:"views"`
-	// Loads is the work that the sender has in flight.
-	Loads []ReplicaLoad `json:"loads"`
+	// Loads is the work in flight of those for whom the sender speaks.
+	Loads []ReplicaLoad `json:"loads,omitempty"`
 	// Out lists the replicas that get no new work until they hold a weight
-	// version; only the holder of the duty names some.
-	Out []ReplicaVersion `json:"out"`
+	// version, as the holder of the duty told OutAge ago.
+	Out    []ReplicaVersion `json:"out,omitempty"`
+	OutAge time.Duration    `json:"out-age,omitempty"`
 	// Ordered lists those of them that were ordered to load.
-	Ordered []string `json:"ordered"`
+	Ordered []string `json:"ordered,omitempty"`
 	// Loaded lists the replicas whose weights changed lately.
-	Loaded []ReplicaVersion `json:"loaded"`
-	// Fetches has for each model the oldest weight version whose context the
-	// sender may still fetch from stores.
-	Fetches []ModelVersion `json:"fetches"`
+	Loaded []ReplicaVersion `json:"loaded,omitempty"`
+	// Fetches has for each model the oldest weight version whose context may still
+	// be fetched from stores, for the same instances as Loads.
+	Fetches []ModelVersion `json:"fetches,omitempty"`
 	// Named has the newest weight version of each model, and how long ago it was
 	// named.
-	Named []NamedVersion `json:"named"`
-	// Start differs between the processes that an instance had.
-	Start uint64 `json:"start"`
+	Named []NamedVersion `json:"named,omitempty"`
 	// Ends has the requests that were running when replicas ended.
-	Ends []ContentEnds `json:"ends"`
-	// Known lists the instances that the sender knows.
-	Known []roster.Member `json:"known"`
+	Ends []ContentEnds `json:"ends,omitempty"`
+	// Positions says how far the sender has followed the receiver's stores.
+	Positions []StorePosition `json:"positions,omitempty"`
+	// Stores answers Positions.
+	Stores []StoreChanges `json:"stores,omitempty"`
+	// Clock is the clock of the replicas in milliseconds; 0 if not known.
+	Clock int64 `json:"clock,omitempty"`
+}
+
+// StorePosition is how far the changes of a store were taken from an instance.
+type StorePosition struct {
+	_        struct{} `cbor:",toarray"`
+	Store    string
+	Run, End uint64
+}
+
+// StoreChanges is what happened to the contents of a store.
+type StoreChanges struct {
+	_           struct{} `cbor:",toarray"`
+	Store       string
+	Run, End    uint64
+	Whole       bool
+	Epoch, Last uint64
+	// Salts are those that the events name by their index.
+	Salts  []string
+	Events []StoreEvent
+}
+
+// StoreEvent is one change of a store's contents.
+type StoreEvent struct {
+	_      struct{} `cbor:",toarray"`
+	Salt   int
+	ID     string
+	Tokens int
+	Gone   bool
 }
 
 // ViewState says how far a topic was read and how old the proof is that it was
@@ -243,17 +268,20 @@
 	_        struct{} `cbor:",toarray"`
 	Next     uint64
 	ProofAge time.Duration
+	// ReturnAge is how long ago the topic was first read after an outage, in which
+	// entries may have lapsed; 0 if that is long ago.
+	ReturnAge time.Duration
 }
 
-// ReplicaLoad is one instance's work in flight at a replica.
+// ReplicaLoad is the work in flight at a replica.
 type ReplicaLoad struct {
 	_       struct{} `cbor:",toarray"`
 	Replica string
 	Running int
 	Tokens  int
 	Reading int
-	// Moving is the time of the transfers of context that the work waits for.
-	Moving time.Duration
+	// MovingMillis is the time of the transfers of context that the work waits for.
+	MovingMillis int
 }
 
 // ReplicaVersion is the weight version of a model at a replica.
@@ -294,20 +322,25 @@
 	Void bool
 }
 
-// ModelVersion is a weight version of a model.
+// ModelVersion is a weight version of a model, as so many instances told it.
 type ModelVersion struct {
-	_       struct{} `cbor:",toarray"`
-	Model   string
-	Version int
+	_         struct{} `cbor:",toarray"`
+	Model     string
+	Version   int
+	Instances int
 }
 
-// ViewAsk asks for all records of a topic; answered by ViewCopy.
+// ViewAsk asks for the records of a topic that changed since an offset, 0 for
+// all; answered by ViewCopy.
 type ViewAsk struct {
-	Topic int `json:"topic"`
+	Topic int    `json:"topic"`
+	From  uint64 `json:"from,omitempty"`
 }
 
 // ViewCopy holds the records of a topic.
 type ViewCopy struct {
+	// Changes is true if Records are only those that changed.
+	Changes  bool          `json:"changes,omitempty"`
 	Records  []feed.Record `json:"records"`
 	Next     uint64        `json:"next"`
 	ProofAge time.Duration `json:"proof-age"`
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -43,6 +43,8 @@
 	Nudge func()
 	// Put writes this instance's record, under its key.
 	Put func(ctx context.Context, value []byte) error
+	// Want has the records of earlier processes read.
+	Want func()
 
 	mu       sync.Mutex
 	register poison.Register
@@ -58,8 +60,9 @@
 	return &Crashes{register: poison.Register{Seed: seed}, unkept: make(chan struct{}, 1)}
 }
 
-// Hear takes what another instance knows.
-func (cr *Crashes) Hear(now time.Time, told []message.ContentEnds) {
+// Hear takes what another instance knows, and reports whether something was news.
+func (cr *Crashes) Hear(now time.Time, told []message.ContentEnds) bool {
+	any := false
 	for _, c := range told {
 		rec := poison.Record{Content: c.Content}
 		for _, e := range c.Ends {
@@ -68,22 +71,24 @@
 		if c.ClearedAge >= 0 {
 			rec.Cleared = now.Add(-c.ClearedAge)
 		}
-		cr.hear(now, rec, "peer")
+		any = cr.hear(now, rec, "peer") || any
 	}
+	return any
 }
 
-func (cr *Crashes) hear(now time.Time, rec poison.Record, from string) {
+func (cr *Crashes) hear(now time.Time, rec poison.Record, from string) bool {
 	cr.mu.Lock()
 	news := cr.register.Hear(now, rec)
 	until, barred := cr.register.Barred(now, rec.Content)
 	cr.mu.Unlock()
 	if !news {
-		return
+		return false
 	}
 	cr.Metrics.ends.told.Inc(1)
 	if barred {
 		_ = cr.Logger.Log("msg", "A request that takes down replicas is barred.", "content", rec.Content, "told-by", from, "for", until.Sub(now).Round(time.Second))
 	}
+	return true
 }
 
 // Tell returns what changed since a moment, for other instances.
@@ -270,6 +275,7 @@
 	loaded, records := cr.loaded, cr.register.Kept(now)
 	cr.mu.Unlock()
 	if !loaded {
+		cr.Want()
 		return fmt.Errorf("writing the record with ends: what earlier processes kept is not read yet")
 	}
 	var k keptRecord
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -37,6 +37,8 @@
 type Settings struct {
 	Name       string
 	DataCentre string
+	// Power is the processor's share of a core, in thousandths.
+	Power int
 	// Front is where callers connect, Ready where the balancer asks, and Peers
 	// where the other instances connect.
 	Front, Ready, Peers netip.AddrPort
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -14,6 +14,7 @@
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/entry/outside"
+	"crocusfold.dev/entry/setup"
 	"crocusfold.dev/shell/clock"
 )
 
@@ -22,26 +23,38 @@
 	// operationsWait is how long a read of the operators' records waits. Each
 	// answer proves that the view was complete when the read was sent, so the
 	// newest proof is up to twice as old.
-	operationsWait = 1200 * time.Millisecond
+	operationsWait = 800 * time.Millisecond
+	// provenLimit is the age of the proof from which an instance reads the
+	// operators' records itself in place of the readers. It is
+	// more than twice operationsWait and less than the age at which the instance
+	// turns unready.
+	provenLimit = 2400 * time.Millisecond
+	// firstLoad is how long a new instance waits for the views of its peers before
+	// it reads them itself.
+	firstLoad = 1500 * time.Millisecond
 	// staleAfter is the age of a proof from which a peer's view is asked for.
 	staleAfter = time.Second
 	// upstreamsWait is how long a read of the list of replicas waits, and
 	// upstreamsEvery the least pause between two reads.
 	upstreamsWait  = 600 * time.Millisecond
 	upstreamsEvery = 120 * time.Millisecond
-	// upstreamsCheck is the pause between two looks whether to read it.
-	upstreamsCheck = 100 * time.Millisecond
-	// followedLimit is the age of the list from which an instance reads it itself
-	// in place of the reader of its data centre. It is more than twice
-	// upstreamsWait; a leaving replica must be known everywhere within 2 s.
-	followedLimit = 1500 * time.Millisecond
+	// followedShortest and followedLongest bound the pause between two looks whether
+	// to read a topic that another instance reads.
+	followedShortest = 50 * time.Millisecond
+	followedLongest  = 300 * time.Millisecond
+	// followedMargin is taken off the time in which a leaving replica must be known
+	// everywhere; an instance whose list is older reads it itself in place of the
+	// readers. What is left is more than twice upstreamsWait.
+	followedMargin = 200 * time.Millisecond
 	// instancesWait is how long a read of the list of instances waits.
 	instancesWait = 20 * time.Second
-	// firstBackoff and longestBackoff bound the pause after a failed read.
-	firstBackoff   = 60 * time.Millisecond
-	longestBackoff = 600 * time.Millisecond
-	// outageAfter is the time without an answer from which entries may have
-	// lapsed although their replicas live.
+	// firstBackoff and longestBackoff bound the pause after a failed read, and
+	// followerBackoff that of an instance that is not the reader.
+	firstBackoff    = 60 * time.Millisecond
+	longestBackoff  = 600 * time.Millisecond
+	followerBackoff = 1200 * time.Millisecond
+	// outageAfter is the time without an answer to failed reads from which entries
+	// may have lapsed although their replicas live.
 	outageAfter = 1500 * time.Millisecond
 	// returnTime is how long replicas have to write their entries again.
 	returnTime = 2200 * time.Millisecond
@@ -60,24 +73,35 @@
 	Decoder outside.Decoder
 	Now     func() time.Time
 	Logger  log.Logger
+	Bounds  *setup.Live
 	// OnUpstreams takes changes of the list of replicas. Removals take effect
 	// at removeAt.
 	OnUpstreams func(now time.Time, changed []feed.Record, removeAt time.Time)
 	// OnInstances takes changes of the list of instances.
 	OnInstances func(changed []feed.Record)
-	// Reads reports whether this instance reads the list of replicas for its data
-	// centre; the others take it from that one while it is fresh.
+	// Reads reports whether this instance reads the topics for all; the others take
+	// them from peers while they are fresh.
 	Reads func(now time.Time) bool
+	// Alone reports whether no other instance answers this one.
+	Alone func() bool
+	// OnNews is called when a topic that this instance read has advanced.
+	OnNews func()
 	// OnIntent takes a new intent.
 	OnIntent func(in *outside.Intent)
 
 	mu     sync.Mutex
 	feeds  [topicCount]feed.Feed
 	intent atomic.Pointer[outside.Intent]
-	// returned is when the list of replicas was first read after an outage.
+	// returned is when the list of replicas was first read after an outage, and
+	// failed is true from a failed read until then.
 	returned time.Time
-	// reached is when the operators' records were last read.
-	reached time.Time
+	failed   bool
+	// cut is true after a read of the operators' records that failed.
+	cut     bool
+	started time.Time
+	// wanted is true if the list of instances is to be read although another
+	// instance follows it.
+	wanted bool
 }
 
 // Intent returns the intent in force, or nil if none is known yet.
@@ -85,6 +109,9 @@
 
 // Run follows all topics until ctx ends.
 func (t *Topics) Run(ctx context.Context) {
+	t.mu.Lock()
+	t.started = t.Now()
+	t.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, topic := range []outside.Topic{outside.Operations, outside.Upstreams, outside.Instances} {
 		wg.Go(func() { t.follow(ctx, topic) })
@@ -105,14 +132,17 @@
 			t.logDependency(topic, err)
 		}
 		if err != nil {
+			t.noteReach(topic, err)
 			clock.Pause(ctx, backoff)
-			backoff = min(2*backoff, longestBackoff)
+			longest := longestBackoff
+			if !t.Reads(t.Now()) {
+				longest = followerBackoff
+			}
+			backoff = min(2*backoff, longest)
 			continue
 		}
 		backoff = firstBackoff
-		if topic == outside.Upstreams {
-			clock.Pause(ctx, t.upstreamsPause())
-		}
+		clock.Pause(ctx, t.pause(topic))
 	}
 }
 
@@ -124,19 +154,19 @@
 	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
-// step reads a topic once.
+// step reads a topic once, if it is this instance's to read.
 func (t *Topics) step(ctx context.Context, topic outside.Topic) error {
-	t.mu.Lock()
-	loaded, next := t.feeds[topic].Loaded(), t.feeds[topic].Next()
-	t.mu.Unlock()
 	sent := t.Now()
-	if topic == outside.Upstreams && loaded && !t.Reads(sent) && t.fresh(sent) {
+	read, wait := t.turn(sent, topic)
+	if !read {
 		return nil
 	}
+	t.mu.Lock()
+	loaded, next := t.feeds[topic].Loaded(), t.feeds[topic].Next()
+	t.mu.Unlock()
 	if !loaded {
 		return t.load(ctx, topic, sent)
 	}
-	wait := waits[topic]
 	records, end, err := t.Log.Read(ctx, topic, next, wait)
 	if errors.Is(err, outside.ErrForgotten) {
 		return t.load(ctx, topic, sent)
@@ -145,39 +175,91 @@
 		return err
 	}
 	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Append(records, end) })
-	t.noteReach(topic)
+	t.noteReach(topic, nil)
+	if end > next {
+		t.OnNews()
+	}
 	return nil
 }
 
-// upstreamsPause returns the time until the list of replicas is looked at again.
-func (t *Topics) upstreamsPause() time.Duration {
-	if t.Reads(t.Now()) {
-		return upstreamsEvery
+// turn decides whether this instance reads a topic now, and how long the read
+// waits for news. The reader of a data centre reads all topics; the others read
+// only what their peers do not bring in time, and then at once.
+func (t *Topics) turn(now time.Time, topic outside.Topic) (read bool, wait time.Duration) {
+	if t.Reads(now) {
+		return true, waits[topic]
+	}
+	alone := t.Alone()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := &t.feeds[topic]
+	age := now.Sub(t.started)
+	switch {
+	case topic == outside.Instances:
+		return !f.Loaded() && t.wanted || alone && age > firstLoad && !f.Current(now, instancesWait), 0
+	case !f.Loaded():
+		return age > firstLoad, 0
+	case topic == outside.Operations:
+		return !f.Current(now, provenLimit), 0
 	}
-	return upstreamsCheck
+	return !f.Current(now, t.followedLimit()), 0
 }
 
-// Reaches reports whether this instance itself read the platform's log lately.
-func (t *Topics) Reaches(now time.Time) bool {
+// WantInstances has the list of instances read once, also if another instance
+// follows it for the data centre.
+func (t *Topics) WantInstances() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.reached.IsZero() && now.Sub(t.reached) < operationsWait+outageAfter
+	t.wanted = true
 }
 
-// fresh reports whether the list of replicas came from a peer lately.
-func (t *Topics) fresh(now time.Time) bool {
+// pause returns the time until a topic is looked at again.
+func (t *Topics) pause(topic outside.Topic) time.Duration {
+	now := t.Now()
+	if t.Reads(now) {
+		if topic == outside.Upstreams {
+			return upstreamsEvery
+		}
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.feeds[outside.Upstreams].Current(now, followedLimit)
+	proof := t.feeds[topic].Proof()
+	switch topic {
+	case outside.Operations:
+		return inRange(proof.Add(provenLimit).Sub(now))
+	case outside.Upstreams:
+		return inRange(proof.Add(t.followedLimit()).Sub(now))
+	}
+	return followedLongest
 }
 
-func (t *Topics) noteReach(topic outside.Topic) {
-	if topic != outside.Operations {
-		return
-	}
+// followedLimit is the age of the list of replicas from which a follower reads it.
+func (t *Topics) followedLimit() time.Duration { return t.Bounds.Bounds().Drain - followedMargin }
+
+// inRange bounds the pause between two looks at a followed topic.
+func inRange(d time.Duration) time.Duration {
+	return max(followedShortest, min(d, followedLongest))
+}
+
+// Reaches reports whether this instance itself reaches the platform's log, as far as
+// its last read of the operators' records shows.
+func (t *Topics) Reaches() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reached = t.Now()
+	return !t.cut
+}
+
+// noteReach notes how a read ended.
+func (t *Topics) noteReach(topic outside.Topic, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch topic {
+	case outside.Operations:
+		t.cut = err != nil
+	case outside.Upstreams:
+		t.failed = t.failed || err != nil
+	}
 }
 
 func (t *Topics) load(ctx context.Context, topic outside.Topic, sent time.Time) error {
@@ -186,7 +268,7 @@
 		return err
 	}
 	t.take(topic, sent, end, func(f *feed.Feed) []feed.Record { return f.Replace(records, end) })
-	t.noteReach(topic)
+	t.noteReach(topic, nil)
 	return nil
 }
 
@@ -199,8 +281,11 @@
 	changed := change(f)
 	f.Prove(proven, end)
 	now := t.Now()
-	if topic == outside.Upstreams && !before.IsZero() && proven.Sub(before) > outageAfter {
-		t.returned = now
+	if topic == outside.Upstreams {
+		if t.failed && !before.IsZero() && proven.Sub(before) > outageAfter {
+			t.returned = now
+		}
+		t.failed = false
 	}
 	if len(changed) == 0 {
 		return
@@ -254,7 +339,11 @@
 	defer t.mu.Unlock()
 	var out []message.ViewState
 	for _, topic := range []outside.Topic{outside.Operations, outside.Upstreams} {
-		out = append(out, viewState(now, &t.feeds[topic]))
+		v := viewState(now, &t.feeds[topic])
+		if age := now.Sub(t.returned); topic == outside.Upstreams && !t.returned.IsZero() && age < returnTime {
+			v.ReturnAge = age
+		}
+		out = append(out, v)
 	}
 	return out
 }
@@ -267,8 +356,8 @@
 	return v
 }
 
-// Copy returns the records of a topic for a peer.
-func (t *Topics) Copy(now time.Time, topic outside.Topic) (message.ViewCopy, bool) {
+// Copy returns the records of a topic for a peer that has those before an offset.
+func (t *Topics) Copy(now time.Time, topic outside.Topic, from uint64) (message.ViewCopy, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if topic < 0 || int(topic) >= topicCount {
@@ -276,37 +365,82 @@
 	}
 	f := &t.feeds[topic]
 	v := viewState(now, f)
-	return message.ViewCopy{Records: f.Records(), Next: v.Next, ProofAge: v.ProofAge}, f.Loaded()
+	c := message.ViewCopy{Next: v.Next, ProofAge: v.ProofAge}
+	if from > 0 {
+		c.Records, c.Changes = f.Since(from)
+	}
+	if !c.Changes {
+		c.Records = f.Records()
+	}
+	return c, f.Loaded()
+}
+
+// Behind is a topic whose records should be asked for from an offset on.
+type Behind struct {
+	Topic outside.Topic
+	From  uint64
 }
 
-// Hear takes a peer's views, asked for at sent. It returns the topics whose
-// records should be asked for: those that this instance can't read itself, and
-// the list of replicas if the peer reads it for the data centre.
-func (t *Topics) Hear(now, sent time.Time, views []message.ViewState, fromReader bool) []outside.Topic {
+// Hear takes a peer's views, asked for at sent. It returns the topics in which the
+// peer has read further, unless this instance reads them itself.
+func (t *Topics) Hear(now, sent time.Time, views []message.ViewState) []Behind {
+	reads := t.Reads(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var behind []outside.Topic
+	var behind []Behind
 	for i, topic := range []outside.Topic{outside.Operations, outside.Upstreams} {
 		if i >= len(views) || views[i].ProofAge < 0 {
 			continue
 		}
 		f := &t.feeds[topic]
+		if returned := sent.Add(-views[i].ReturnAge); views[i].ReturnAge > 0 && returned.After(t.returned) {
+			t.returned = returned
+		}
 		if f.Loaded() && f.Next() >= views[i].Next {
 			f.Prove(sent.Add(-views[i].ProofAge), views[i].Next)
 			continue
 		}
-		stale := now.Sub(f.Proof()) > staleAfter || topic == outside.Upstreams && fromReader
-		if !f.Loaded() || stale {
-			behind = append(behind, topic)
+		if !f.Loaded() || !reads || now.Sub(f.Proof()) > staleAfter {
+			b := Behind{Topic: topic}
+			if f.Loaded() {
+				b.From = f.Next()
+			}
+			behind = append(behind, b)
 		}
 	}
 	return behind
 }
 
-// Merge takes a peer's copy of a topic, asked for at sent.
-func (t *Topics) Merge(sent time.Time, topic outside.Topic, c message.ViewCopy) {
+// Ahead reports whether a peer that told its views has read further.
+func (t *Topics) Ahead(views []message.ViewState) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, topic := range []outside.Topic{outside.Operations, outside.Upstreams} {
+		if i < len(views) && views[i].ProofAge >= 0 && t.feeds[topic].Next() < views[i].Next {
+			return true
+		}
+	}
+	return false
+}
+
+// Merge takes a peer's copy of a topic, asked for at sent. It reports whether the
+// view has advanced.
+func (t *Topics) Merge(sent time.Time, b Behind, c message.ViewCopy) bool {
 	if c.ProofAge < 0 {
-		return
+		return false
 	}
-	t.take(topic, sent.Add(-c.ProofAge), c.Next, func(f *feed.Feed) []feed.Record { return f.Replace(c.Records, c.Next) })
+	before := t.next(b.Topic)
+	t.take(b.Topic, sent.Add(-c.ProofAge), c.Next, func(f *feed.Feed) []feed.Record {
+		if c.Changes && f.Next() >= b.From {
+			return f.Append(c.Records, c.Next)
+		}
+		return f.Replace(c.Records, c.Next)
+	})
+	return t.next(b.Topic) > before
+}
+
+func (t *Topics) next(topic outside.Topic) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.feeds[topic].Next()
 }
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/entry/message"
 )
@@ -25,9 +26,11 @@
 
 // Hear takes a peer's loads and changes of weights.
 func (u *Upstreams) Hear(now time.Time, g message.Gossip) {
-	loads := map[string]pool.Load{}
+	loads := make(map[string]pool.Load, len(g.Loads))
 	for _, l := range g.Loads {
-		loads[l.Replica] = pool.Load{Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, Moving: l.Moving}
+		loads[l.Replica] = pool.Load{
+			Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, Moving: time.Duration(l.MovingMillis) * time.Millisecond,
+		}
 	}
 	u.mu.Lock()
 	for _, v := range g.Named {
@@ -38,7 +41,7 @@
 	}
 	u.pool.HearPeer(now, g.Name, loads)
 	for _, o := range g.Out {
-		u.pool.Reloading(o.Replica, o.Model, o.Version, now.Add(outLife))
+		u.pool.Reloading(o.Replica, o.Model, o.Version, now.Add(outLife-g.OutAge))
 	}
 	u.mu.Unlock()
 	for _, v := range g.Loaded {
@@ -46,22 +49,39 @@
 	}
 }
 
-// Tell fills in what peers are told.
-func (u *Upstreams) Tell(g *message.Gossip) {
-	for model, oldest := range u.Fetched(u.Now()) {
-		g.Fetches = append(g.Fetches, message.ModelVersion{Model: model, Version: oldest})
+// ForgetPeers drops the loads that peers told, since they reach this instance in
+// another way now.
+func (u *Upstreams) ForgetPeers(names []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, name := range names {
+		u.pool.ForgetPeer(name)
+	}
+}
+
+// Tell fills in what a peer is told: what has changed since a moment, and the work
+// in flight of this instance and of the peers that are to be told with it.
+func (u *Upstreams) Tell(now time.Time, g *message.Gossip, since time.Time, peers map[string]bool) {
+	for model, oldest := range u.Fetched(now) {
+		g.Fetches = append(g.Fetches, message.ModelVersion{Model: model, Version: oldest, Instances: 1})
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for model, n := range u.named {
 		if n.known {
-			g.Named = append(g.Named, message.NamedVersion{Model: model, Version: n.version, Age: u.Now().Sub(n.at)})
+			g.Named = append(g.Named, message.NamedVersion{Model: model, Version: n.version, Age: now.Sub(n.at)})
 		}
 	}
-	for id, l := range u.pool.Own() {
-		g.Loads = append(g.Loads, message.ReplicaLoad{Replica: id, Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, Moving: l.Moving})
+	if g.Relation != neighbours.Apart {
+		for id, l := range u.pool.Sum(now, peers) {
+			g.Loads = append(g.Loads, message.ReplicaLoad{
+				Replica: id, Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, MovingMillis: int(l.Moving.Milliseconds()),
+			})
+		}
 	}
-	for v := range u.loaded {
-		g.Loaded = append(g.Loaded, v)
+	for v, at := range u.loaded {
+		if !at.Before(since) {
+			g.Loaded = append(g.Loaded, v)
+		}
 	}
 }
--- a/entry/upstreams/peers_test.go
+++ b/entry/upstreams/peers_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/entry/message"
 )
@@ -25,9 +26,9 @@
 		return reason
 	}
 	loaded := func(version int) message.Gossip {
-		return message.Gossip{Name: "other", Loaded: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: version}}}
+		return message.Gossip{Hello: neighbours.Hello{Name: "other"}, Loaded: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: version}}}
 	}
-	u.Hear(now, message.Gossip{Name: "holder", Out: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: 3}}})
+	u.Hear(now, message.Gossip{Hello: neighbours.Hello{Name: "holder"}, Out: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: 3}}})
 	is.Equal(reason(), pool.Reloading)
 	u.Hear(now, loaded(2))
 	is.Equal(reason(), pool.Reloading) // the news is of the weights that it holds
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -26,13 +26,17 @@
 	storeBackoff = 400 * time.Millisecond
 )
 
-// FollowStores keeps the directory up to date until ctx ends.
+// FollowStores keeps the directory up to date until ctx ends, while this instance is
+// one that follows the stores itself.
 func (u *Upstreams) FollowStores(ctx context.Context, control outside.Control) {
 	running := map[string]context.CancelFunc{}
 	ticker := time.NewTicker(storesEvery)
 	defer ticker.Stop()
 	for {
-		stores := u.Stores()
+		stores := map[string]netip.AddrPort{}
+		if u.Follows(u.Now()) {
+			stores = u.Stores()
+		}
 		for name, stop := range running {
 			if _, ok := stores[name]; !ok {
 				stop()
--- a/entry/upstreams/upstreams.go
+++ b/entry/upstreams/upstreams.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/crew"
 	"crocusfold.dev/core/directory"
 	"crocusfold.dev/core/feed"
 	"crocusfold.dev/core/pool"
@@ -62,6 +63,9 @@
 	// Cleans reports whether this instance frees what stores hold in vain; it
 	// lists them more often while they have parts that are not whole.
 	Cleans func(now time.Time) bool
+	// Follows reports whether this instance follows the stores itself; the others
+	// hear of changes from one that does.
+	Follows func(now time.Time) bool
 
 	// OnEnded, if set, takes replicas that ended without having left before.
 	OnEnded func(now time.Time, r pool.Replica)
@@ -95,11 +99,12 @@
 // version is heard of, and until a replica begins with a request.
 const versionMargin = 800 * time.Millisecond
 
-// SetMembers takes the number of instances that share limits.
-func (u *Upstreams) SetMembers(n int) {
+// SetCrew takes the instances that share limits.
+func (u *Upstreams) SetCrew(c crew.Crew) {
+	b := u.Bounds.Bounds()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.pool.Members = n
+	u.pool.Crew, u.pool.ColdOvershoot, u.pool.ColdSlack = c, b.ColdOvershoot, b.ColdSlack
 }
 
 // TakeReplicas applies changes of the list of replicas.
--- a/measure/probe/platformpath.go
+++ b/measure/probe/platformpath.go
@@ -6,8 +6,9 @@
 	"time"
 
 	"crocusfold.dev/core/directory"
+	"crocusfold.dev/core/membership"
+	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/pool"
-	"crocusfold.dev/core/roster"
 	"crocusfold.dev/entry/message"
 	"crocusfold.dev/measure/slope"
 )
@@ -17,7 +18,9 @@
 func gossipBytes() slope.Slope {
 	return slope.Measure("gossip message", "replica", "B", []float64{0, 8, 32}, func(n int) float64 {
 		g := message.Gossip{
-			Name: "edge-cuenca-norte-1", DataCentre: "cuenca-norte", Address: netip.MustParseAddrPort("10.1.0.40:8000"),
+			Hello: neighbours.Hello{
+				Name: "edge-cuenca-norte-1", DataCentre: "cuenca-norte", Address: netip.MustParseAddrPort("10.1.0.40:8000"),
+			},
 			Views: []message.ViewState{{Next: 7, ProofAge: time.Second}, {Next: 15, ProofAge: time.Second}},
 		}
 		for i := range n {
@@ -27,12 +30,12 @@
 	})
 }
 
-// knownBytes is what the list of known instances adds to it once a second.
+// knownBytes is what a member whose state changed adds to it, once for each peer.
 func knownBytes() slope.Slope {
 	return slope.Measure("known instances", "instance", "B", []float64{0, 8, 64}, func(n int) float64 {
 		g := message.Gossip{}
 		for i := range n {
-			g.Known = append(g.Known, roster.Member{
+			g.Members = append(g.Members, membership.Entry{
 				Name: fmt.Sprintf("edge-cuenca-norte-%03d", i), DataCentre: "cuenca-norte", Address: netip.MustParseAddrPort("10.1.0.40:8000"),
 			})
 		}
@@ -44,7 +47,7 @@
 func chooseTime() slope.Slope {
 	return slope.Measure("choice", "replica", "us", []float64{12, 60, 240}, func(n int) float64 {
 		now := time.Unix(0, 0)
-		p := &pool.Pool{Members: 8, DataCentre: "dc-0"}
+		p := &pool.Pool{DataCentre: "dc-0"}
 		for i := range n {
 			p.Set(pool.Replica{
 				ID: fmt.Sprintf("i-%010d", i), Service: "s", DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: 64,
