Don't let a word of the holder of the duty grow younger on its way

Cause: instances told each other how long ago a holder was known, and each took what it heard as of its own receipt.

Change: a word of the holder has its process and stamp (core/lease, Hearsay) and counts once, when it is heard first; replicas stay out by the time at which it was said. Ruled out: an allowance for each way, since ways may take seconds.

Also: metrics of the place in the overlay and of calls to the platform by topic; the place is logged when it changes.

Test: a word that goes round (core/lease/testdata/hearsay.txt).

--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -13,13 +13,20 @@
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
 		l := &Lease{}
-		c := &Candidacy{}
+		c, h := &Candidacy{}, &Hearsay{}
 		at := func(s string) time.Time {
 			ms, _ := strconv.ParseInt(s, 10, 64)
 			return time.UnixMilli(1_000_000 + ms)
 		}
 		return func(args []string) []string {
 			switch args[0] {
+			case "word":
+				// word HEARD PROCESS STAMP AGE
+				process, _ := strconv.ParseUint(args[2], 10, 64)
+				stamp, _ := time.ParseDuration(args[3])
+				age, _ := time.ParseDuration(args[4])
+				said, news := h.Hear(at(args[1]), process, stamp, age)
+				return []string{fmt.Sprint(said.Sub(at("0")).Milliseconds(), " ", news)}
 			case "quiet":
 				l.Quiet, _ = time.ParseDuration(args[1])
 			case "renew":
--- a/core/neighbours/fleet_test.go
+++ b/core/neighbours/fleet_test.go
@@ -130,7 +130,7 @@
 				count++
 			}
 		case "roots":
-			if n.Root() {
+			if n.Place().Root {
 				count++
 			}
 		case "readers":
--- a/core/neighbours/readers.go
+++ b/core/neighbours/readers.go
@@ -127,5 +127,12 @@
 	return rank, !alone && 2*answer >= len(n.plan.First)
 }
 
-// Root reports whether this instance is a root of the overlay.
-func (n *Neighbours) Root() bool { return n.plan.Root }
+// Place is an instance's place in the overlay.
+type Place struct {
+	Root bool
+	// Parent is the instance that one which is no root exchanges with.
+	Parent netip.AddrPort
+}
+
+// Place returns this instance's place in the overlay.
+func (n *Neighbours) Place() Place { return Place{n.plan.Root, n.plan.Parent} }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -165,15 +165,16 @@
 	proof := scope.Gauge("proof_age_seconds")
 	holder := scope.Gauge("duty_held")
 	inFlight := scope.Gauge("in_flight")
+	root := scope.Gauge("overlay_root")
+	members := scope.Gauge("overlay_living")
 	e.gauges = func(now time.Time) {
 		if age, ok := e.topics.ProofAge(now); ok {
 			proof.Update(age.Seconds())
 		}
-		held := 0.0
-		if e.duty.Holds(now) {
-			held = 1
-		}
-		holder.Update(held)
+		place, living := e.gossip.Show()
+		root.Update(oneIf(place.Root))
+		members.Update(float64(living))
+		holder.Update(oneIf(e.duty.Holds(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
 		for service, left := range e.budgets.Left() {
 			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
@@ -182,6 +183,14 @@
 	return scope
 }
 
+// oneIf is the value of a gauge that shows whether something holds.
+func oneIf(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // showMetrics updates the gauges and serves the page.
 func (e *Edge) showMetrics(w http.ResponseWriter, r *http.Request) {
 	e.gauges(e.now())
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -17,45 +17,45 @@
 	scope tally.Scope
 }
 
-func (l countedLog) count(call string, err error) {
+func (l countedLog) count(call string, topic outside.Topic, err error) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	l.scope.Tagged(map[string]string{"call": call, "result": result}).Counter("log_calls").Inc(1)
+	l.scope.Tagged(map[string]string{"call": call, "topic": topic.String(), "result": result}).Counter("log_calls").Inc(1)
 }
 
 // Newest counts and passes the call on.
 func (l countedLog) Newest(ctx context.Context, t outside.Topic) ([]feed.Record, uint64, error) {
 	records, next, err := l.Log.Newest(ctx, t)
-	l.count("newest", err)
+	l.count("newest", t, err)
 	return records, next, err
 }
 
 // Read counts and passes the call on.
 func (l countedLog) Read(ctx context.Context, t outside.Topic, from uint64, wait time.Duration) ([]feed.Record, uint64, error) {
 	records, next, err := l.Log.Read(ctx, t, from, wait)
-	l.count("read", err)
+	l.count("read", t, err)
 	return records, next, err
 }
 
 // Put counts and passes the call on.
 func (l countedLog) Put(ctx context.Context, key string, value []byte) error {
 	err := l.Log.Put(ctx, key, value)
-	l.count("put", err)
+	l.count("put", outside.Instances, err)
 	return err
 }
 
 // Join counts and passes the call on.
 func (l countedLog) Join(ctx context.Context, member string, ttl time.Duration, generation uint64) (lease.Grant, error) {
 	g, err := l.Log.Join(ctx, member, ttl, generation)
-	l.count("join", err)
+	l.count("join", outside.Instances, err)
 	return g, err
 }
 
 // Leave counts and passes the call on.
 func (l countedLog) Leave(ctx context.Context, member string) error {
 	err := l.Log.Leave(ctx, member)
-	l.count("leave", err)
+	l.count("leave", outside.Instances, err)
 	return err
 }
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -13,8 +13,8 @@
 	"crocusfold.dev/entry/topics"
 )
 
-// relayLife is how long what the holder of the duty told is passed on.
-const relayLife = 1500 * time.Millisecond
+// wordLife is how long a word of the holder of the duty is passed on.
+const wordLife = 1500 * time.Millisecond
 
 // exchange calls a peer and takes its answer.
 func (g *Gossip) exchange(ctx context.Context, c neighbours.Call) {
@@ -85,18 +85,17 @@
 	released := p.holder && !m.Holder
 	p.fetches, p.holder = m.Fetches, m.Holder
 	counts := g.neighbours.Counts(m.Address)
-	news = g.relay(now, m) || news
+	said, heard, changed := g.hearHolder(now, m.Duty)
 	g.mu.Unlock()
 
 	if released {
 		g.Duty.HolderReleased(now)
 	}
-	switch {
-	case m.Holder:
-		g.Duty.HolderElsewhere(now, m.Ordered)
-	case m.HolderAge >= 0:
-		g.Duty.HolderElsewhere(now.Add(-m.HolderAge), m.Ordered)
+	if heard {
+		g.Duty.HolderElsewhere(said, m.Duty.Ordered)
+		g.Upstreams.HoldOut(said, m.Duty.Out)
 	}
+	news = news || changed
 	if g.Crashes.Hear(now, m.Ends) || news {
 		g.Nudge()
 	}
@@ -106,16 +105,35 @@
 	g.Upstreams.Hear(now, m)
 }
 
-// relay keeps what the holder of the duty told, to pass it on. It reports whether
-// that has changed.
-func (g *Gossip) relay(now time.Time, m message.Gossip) bool {
-	at := now.Add(-m.OutAge)
-	if !m.Holder && len(m.Out) == 0 || !at.After(g.out.at) {
-		return false
+// hearHolder takes a word of the holder of the duty. It returns when that was said,
+// whether it is the newest word, and whether it says something new.
+func (g *Gossip) hearHolder(now time.Time, w message.HolderWord) (said time.Time, heard, changed bool) {
+	if w.Process == 0 || w.Process == g.process {
+		return time.Time{}, false, false
+	}
+	said, heard = g.hearsay.Hear(now, w.Process, w.Stamp, w.Age)
+	if !heard {
+		return said, false, false
+	}
+	changed = !slices.Equal(g.word.Out, w.Out) || !slices.Equal(g.word.Ordered, w.Ordered)
+	g.word = w
+	return said, true, changed
+}
+
+// holderWord is what this instance passes on of the duty, or says itself if it holds
+// the duty.
+func (g *Gossip) holderWord(now time.Time, hello neighbours.Hello, holds bool) message.HolderWord {
+	if holds {
+		out, ordered := g.Duty.Out()
+		return message.HolderWord{Process: hello.Start, Stamp: hello.Stamp, Out: out, Ordered: ordered}
 	}
-	changed := !slices.Equal(g.out.out, m.Out) || !slices.Equal(g.out.ordered, m.Ordered)
-	g.out = relayed{at, m.Out, m.Ordered}
-	return changed
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.word
+	if w.Age = g.hearsay.Age(now); w.Age > wordLife {
+		return message.HolderWord{}
+	}
+	return w
 }
 
 // call is what this instance tells a peer that it calls.
@@ -143,19 +161,13 @@
 // state tells a peer what has changed since a moment, and the work in flight that
 // it can't know from elsewhere.
 func (g *Gossip) state(now time.Time, hello neighbours.Hello, since time.Time, to netip.AddrPort) message.Gossip {
-	out, ordered := g.Duty.Out()
 	hello.Reaches = g.Topics.Reaches()
+	holds := g.Duty.Holds(now)
 	m := message.Gossip{
-		Hello: hello, Views: g.Topics.Views(now), Out: out, Ordered: ordered,
-		Holder: g.Duty.Holds(now), HolderAge: -1, Ends: g.Crashes.Tell(now, since),
-	}
-	if age, ok := g.Duty.HolderSeen(now); ok && !m.Holder {
-		m.HolderAge = age
+		Hello: hello, Views: g.Topics.Views(now), Holder: holds, Duty: g.holderWord(now, hello, holds),
+		Ends: g.Crashes.Tell(now, since),
 	}
 	g.mu.Lock()
-	if !m.Holder && now.Sub(g.out.at) < relayLife {
-		m.Out, m.Ordered, m.OutAge = g.out.out, g.out.ordered, now.Sub(g.out.at)
-	}
 	names, fetches := map[string]bool{}, [][]message.ModelVersion{}
 	for _, passed := range g.neighbours.Passes(to, hello.Relation) {
 		names[passed.Name] = true
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"crocusfold.dev/core/crew"
 	"crocusfold.dev/core/feed"
+	"crocusfold.dev/core/lease"
 	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/roster"
@@ -52,12 +53,19 @@
 
 	mu         sync.Mutex
 	neighbours neighbours.Neighbours
-	peers      map[netip.AddrPort]*peer
-	out        relayed
+	// process differs between the processes of an instance.
+	process uint64
+	peers   map[netip.AddrPort]*peer
+	// hearsay tells which word of the holder of the duty is the newest, and word has
+	// it to be passed on.
+	hearsay lease.Hearsay
+	word    message.HolderWord
 	// pulling has the topics that are being asked for.
 	pulling map[outside.Topic]bool
 	// nudge asks for an exchange with all neighbours, wake for a look at who is due.
 	nudge, wake chan struct{}
+	// place is the last one that was logged.
+	place neighbours.Place
 	// shared is when the instances that share limits were last told.
 	shared time.Time
 }
@@ -68,8 +76,6 @@
 	// version, and those of them that were ordered.
 	Out() (out []message.ReplicaVersion, ordered []string)
 	Holds(now time.Time) bool
-	// HolderSeen returns how long ago another holder was known.
-	HolderSeen(now time.Time) (age time.Duration, ok bool)
 	// HolderElsewhere notes a holder at a moment, with what it has ordered.
 	HolderElsewhere(at time.Time, ordered []string)
 	HolderReleased(now time.Time)
@@ -92,18 +98,12 @@
 	holder    bool
 }
 
-// relayed is what the holder of the duty last told, directly or through others.
-type relayed struct {
-	at      time.Time
-	out     []message.ReplicaVersion
-	ordered []string
-}
-
 // Attach answers the exchanges of peers.
 func (g *Gossip) Attach() {
 	g.nudge, g.wake = make(chan struct{}, 1), make(chan struct{}, 1)
 	g.peers, g.pulling = map[netip.AddrPort]*peer{}, map[outside.Topic]bool{}
-	g.neighbours.Start(g.Now(), g.Self, rand.Uint64(), g.Seeds)
+	g.process = rand.Uint64()
+	g.neighbours.Start(g.Now(), g.Self, g.process, g.Seeds)
 	g.Mesh.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		now := g.Now()
 		switch m := msg.(type) {
@@ -211,7 +211,9 @@
 		delete(g.peers, address)
 		g.Mesh.Drop(address)
 	}
-	uncounted := g.neighbours.Uncounted()
+	uncounted, place, living := g.neighbours.Uncounted(), g.neighbours.Place(), g.neighbours.Living()
+	moved := place != g.place
+	g.place = place
 	share := now.Sub(g.shared) >= shareEvery
 	if share {
 		g.shared = now
@@ -221,6 +223,9 @@
 		sharing = g.neighbours.Crew(now)
 	}
 	g.mu.Unlock()
+	if moved {
+		_ = g.Logger.Log("msg", "The place among the instances changed.", "root", place.Root, "parent", place.Parent, "living", living)
+	}
 	if share {
 		g.OnCrew(sharing)
 	}
@@ -264,9 +269,10 @@
 	return g.neighbours.Rank(now)
 }
 
-// Show returns this instance's place among the instances, for the metrics.
-func (g *Gossip) Show() (root bool, living int) {
+// Show returns this instance's place among the instances and the number of others
+// that are thought to live, for the metrics.
+func (g *Gossip) Show() (place neighbours.Place, living int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.neighbours.Root(), g.neighbours.Living()
+	return g.neighbours.Place(), g.neighbours.Living()
 }
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -202,20 +202,14 @@
 // Gossip tells an instance's state to another, which answers with its own.
 type Gossip struct {
 	neighbours.Hello
-	// Holder is true if the sender holds the duties; else HolderAge is how long
-	// ago it knew of a holder, negative if it does not know of one.
-	Holder    bool          `json:"holder,omitempty"`
-	HolderAge time.Duration `json:"holder-age"`
+	// Holder is true if the sender holds the duties.
+	Holder bool `json:"holder,omitempty"`
+	// Duty is what the holder of the duties said last, as far as the sender knows.
+	Duty HolderWord `json:"duty"`
 	// Views are those of the operators' records and of the list of replicas.
 	Views []ViewState `json:"views"`
 	// Loads is the work in flight of those for whom the sender speaks.
 	Loads []ReplicaLoad `json:"loads,omitempty"`
-	// Out lists the replicas that get no new work until they hold a weight
-	// version, as the holder of the duty told OutAge ago.
-	Out    []ReplicaVersion `json:"out,omitempty"`
-	OutAge time.Duration    `json:"out-age,omitempty"`
-	// Ordered lists those of them that were ordered to load.
-	Ordered []string `json:"ordered,omitempty"`
 	// Loaded lists the replicas whose weights changed lately.
 	Loaded []ReplicaVersion `json:"loaded,omitempty"`
 	// Fetches has for each model the oldest weight version whose context may still
@@ -234,6 +228,20 @@
 	Clock int64 `json:"clock,omitempty"`
 }
 
+// HolderWord is what the holder of the duties said, as it is passed on.
+type HolderWord struct {
+	_ struct{} `cbor:",toarray"`
+	// Process and Stamp tell the words of a holder apart; Process is 0 if none is
+	// known. Age is how long ago the word was said.
+	Process uint64
+	Stamp   time.Duration
+	Age     time.Duration
+	// Out lists the replicas that get no new work until they hold a weight version,
+	// and Ordered those of them that were ordered to load.
+	Out     []ReplicaVersion
+	Ordered []string
+}
+
 // StorePosition is how far the changes of a store were taken from an instance.
 type StorePosition struct {
 	_        struct{} `cbor:",toarray"`
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -40,15 +40,21 @@
 		}
 	}
 	u.pool.HearPeer(now, g.Name, loads)
-	for _, o := range g.Out {
-		u.pool.Reloading(o.Replica, o.Model, o.Version, now.Add(outLife-g.OutAge))
-	}
 	u.mu.Unlock()
 	for _, v := range g.Loaded {
 		u.Loaded(now, v)
 	}
 }
 
+// HoldOut keeps new work from replicas that the holder of the duty named at a moment.
+func (u *Upstreams) HoldOut(said time.Time, out []message.ReplicaVersion) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, o := range out {
+		u.pool.Reloading(o.Replica, o.Model, o.Version, said.Add(outLife))
+	}
+}
+
 // ForgetPeers drops the loads that peers told, since they reach this instance in
 // another way now.
 func (u *Upstreams) ForgetPeers(names []string) {
--- a/entry/upstreams/peers_test.go
+++ b/entry/upstreams/peers_test.go
@@ -28,7 +28,7 @@
 	loaded := func(version int) message.Gossip {
 		return message.Gossip{Hello: neighbours.Hello{Name: "other"}, Loaded: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: version}}}
 	}
-	u.Hear(now, message.Gossip{Hello: neighbours.Hello{Name: "holder"}, Out: []message.ReplicaVersion{{Replica: "r", Model: "m", Version: 3}}})
+	u.HoldOut(now, []message.ReplicaVersion{{Replica: "r", Model: "m", Version: 3}})
 	is.Equal(reason(), pool.Reloading)
 	u.Hear(now, loaded(2))
 	is.Equal(reason(), pool.Reloading) // the news is of the weights that it holds
