Order no engine to load weights while requests wait there for a slot

Cause: an engine refuses what waits for a slot from the order until its weights are loaded. Ruled out: late news of the draining; it is told at once.

Change: an engine with more requests than slots is drained for up to 600 ms. Engines whose requests all run are ordered as before. Tests: two scripts of core/reload, failing before.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -12,10 +12,15 @@
 type Engine struct {
 	ID      string
 	Version int
-	// Running is the number of requests in flight at it.
-	Running int
+	// Running is the number of requests in flight at it, Slots how many it works on
+	// at once; 0 if that is not known.
+	Running, Slots int
 }
 
+// waits reports whether requests wait at the engine for a slot. It would refuse them
+// from an order on until the weights are loaded.
+func (e Engine) waits() bool { return e.Slots > 0 && e.Running > e.Slots }
+
 // Action is one of the types below.
 type Action interface{ action() }
 
@@ -53,6 +58,8 @@
 	// the requests that still run: the capacity that is missing while they end
 	// costs callers more than their remainder on the new weights.
 	drainLimit = 150 * time.Millisecond
+	// queueLimit is that time if requests wait there for a slot.
+	queueLimit = 600 * time.Millisecond
 	// refusedRetry is the pause before an order that was refused is sent again.
 	refusedRetry = 150 * time.Millisecond
 	// orderRetry is how long an order may go without effect before it is sent again.
@@ -150,7 +157,7 @@
 			out = append(out, Watch{e.ID, target})
 		}
 		waited := now.Sub(p.drainedAt)
-		if now.Before(p.nextOrder) && (p.version == target || p.watched) || waited < settle || e.Running > 0 && waited < drainLimit {
+		if now.Before(p.nextOrder) && (p.version == target || p.watched) || waited < e.drainTime() {
 			continue
 		}
 		rl.engines[e.ID] = progress{drainedAt: p.drainedAt, nextOrder: now.Add(orderRetry), version: target}
@@ -159,6 +166,17 @@
 	return out
 }
 
+// drainTime is how long an engine is drained before it is ordered.
+func (e Engine) drainTime() time.Duration {
+	switch {
+	case e.waits():
+		return queueLimit
+	case e.Running > 0:
+		return drainLimit
+	}
+	return settle
+}
+
 // Adopt takes an engine over that another holder has drained and may have
 // ordered. It is not ordered before notBefore.
 func (rl *Reload) Adopt(now, notBefore time.Time, id string) {
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -10,7 +10,8 @@
 	"crocusfold.dev/script"
 )
 
-// TestScripts: an engine is id:version:running; times are in milliseconds.
+// TestScripts: an engine is id:version:running, and :slots if it has so few; times are
+// in milliseconds.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
 		rl := &Reload{}
@@ -41,7 +42,11 @@
 		f := strings.Split(arg, ":")
 		version, _ := strconv.Atoi(f[1])
 		running, _ := strconv.Atoi(f[2])
-		out = append(out, Engine{ID: f[0], Version: version, Running: running})
+		e := Engine{ID: f[0], Version: version, Running: running}
+		if len(f) > 3 {
+			e.Slots, _ = strconv.Atoi(f[3])
+		}
+		out = append(out, e)
 	}
 	return out
 }
--- a/entry/duty/reload.go
+++ b/entry/duty/reload.go
@@ -86,7 +86,7 @@
 			for _, r := range p.All(s.Name) {
 				if held, ok := r.Versions[model]; ok && !r.Draining {
 					replicas[r.ID] = r
-					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Load(now, r.ID).Running})
+					out = append(out, reload.Engine{ID: r.ID, Version: held, Running: p.Load(now, r.ID).Running, Slots: r.Slots})
 				}
 			}
 		}
