Free old context early only if each living instance has told once

Cause: how many instances had told that they no longer fetch old context was a count, in which an instance that changes its place in the overlay stands twice for a moment and can hide one that has not told; a part could be freed while that one fetches it. Change: the sum of the digests of those who told must be that of the living members. Ruled out: names, which grow with the fleet.

--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -14,7 +14,7 @@
 // TestScripts: a part is id:tokens under the salt s; times are in milliseconds.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
-		d := &Directory{}
+		d, follower := &Directory{}, &Directory{}
 		spaces := map[string]Space{}
 		now := at("0")
 		return func(args []string) []string {
@@ -58,6 +58,22 @@
 				p, _ := part(args[2])
 				reader, ok := d.Reader(at(args[1]), p)
 				return []string{strings.TrimSpace(reader + " " + strconv.FormatBool(ok))}
+			case "follow":
+				// follow STORE RUN END: a follower takes what happened since, and shows
+				// where it is then.
+				c, ok := d.Changes(args[1], Position{Run: uint64(number(args[2])), End: uint64(number(args[3]))})
+				if !ok {
+					return []string{"unknown"}
+				}
+				follower.Configure(spaces)
+				follower.Follow(now, args[1], c)
+				return []string{fmt.Sprintf("run %d end %d whole %t events %d", c.Run, c.End, c.Whole, len(c.Events))}
+			case "follower":
+				p, tokens := part(args[1])
+				store, ok := follower.Locate(p, tokens)
+				return []string{strings.TrimSpace(store + " " + strconv.FormatBool(ok))}
+			case "forget":
+				d.Forget(args[1])
 			case "synced":
 				return []string{fmt.Sprint(d.Synced(args[1]))}
 			case "free":
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -22,6 +22,9 @@
 				return keys(f.Append(records(args[2:]), number(args[1])))
 			case "replace":
 				return keys(f.Replace(records(args[2:]), number(args[1])))
+			case "since":
+				changed, ok := f.Since(number(args[1]))
+				return append(keys(changed), fmt.Sprint(ok))
 			case "prove":
 				f.Prove(time.Unix(int64(number(args[1])), 0), number(args[2]))
 			case "current":
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -6,6 +6,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Status is the state of a member.
@@ -171,6 +173,21 @@
 	return n
 }
 
+// Digest is a member's part of a LivingDigest.
+func Digest(address netip.AddrPort) uint64 { return xxhash.Sum64String(address.String()) }
+
+// LivingDigest is the sum of the digests of the members that are thought to live,
+// without this one.
+func (m *Membership) LivingDigest() uint64 {
+	sum := uint64(0)
+	for _, e := range m.members {
+		if e.Status == Alive {
+			sum += Digest(e.Address)
+		}
+	}
+	return sum
+}
+
 // Sweep drops entries that no longer count.
 func (m *Membership) Sweep(now time.Time) {
 	for address, e := range m.members {
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -337,6 +337,9 @@
 // Living returns the number of other instances that are thought to live.
 func (n *Neighbours) Living() int { return n.members.Living() }
 
+// LivingDigest is the sum of the digests of those instances.
+func (n *Neighbours) LivingDigest() uint64 { return n.members.LivingDigest() }
+
 // Crew returns the instances that share limits.
 func (n *Neighbours) Crew(now time.Time) crew.Crew {
 	sharing := n.members.Sharing(now)
--- a/entry/gossip/stores.go
+++ b/entry/gossip/stores.go
@@ -69,19 +69,20 @@
 				continue
 			}
 			out[i].Version = min(out[i].Version, f.Version)
-			out[i].Instances += f.Instances
+			out[i].Tellers += f.Tellers
 		}
 	}
 	return out
 }
 
 // Fetched returns the oldest weight version of a model whose context any other
-// instance may still fetch; ok is false if one has not told.
+// instance may still fetch; ok is false if one has not told, or if one is told of
+// twice, as while it changes its place among the instances.
 func (g *Gossip) Fetched(model string) (oldest int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	oldest = math.MaxInt
-	instances := 0
+	tellers := uint64(0)
 	for address, p := range g.peers {
 		if !g.neighbours.Counts(address) {
 			continue
@@ -89,9 +90,9 @@
 		for _, f := range p.fetches {
 			if f.Model == model {
 				oldest = min(oldest, f.Version)
-				instances += f.Instances
+				tellers += f.Tellers
 			}
 		}
 	}
-	return oldest, instances >= g.neighbours.Living()
+	return oldest, tellers == g.neighbours.LivingDigest()
 }
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -330,12 +330,13 @@
 	Void bool
 }
 
-// ModelVersion is a weight version of a model, as so many instances told it.
+// ModelVersion is a weight version of a model, as some instances told it.
 type ModelVersion struct {
-	_         struct{} `cbor:",toarray"`
-	Model     string
-	Version   int
-	Instances int
+	_       struct{} `cbor:",toarray"`
+	Model   string
+	Version int
+	// Tellers is the sum of the digests of the instances that told.
+	Tellers uint64
 }
 
 // ViewAsk asks for the records of a topic that changed since an offset, 0 for
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/neighbours"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/entry/message"
@@ -69,7 +70,7 @@
 // in flight of this instance and of the peers that are to be told with it.
 func (u *Upstreams) Tell(now time.Time, g *message.Gossip, since time.Time, peers map[string]bool) {
 	for model, oldest := range u.Fetched(now) {
-		g.Fetches = append(g.Fetches, message.ModelVersion{Model: model, Version: oldest, Instances: 1})
+		g.Fetches = append(g.Fetches, message.ModelVersion{Model: model, Version: oldest, Tellers: membership.Digest(g.Address)})
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
