--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/binary"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -139,25 +139,30 @@
 // against its limit while it is cold. The caller must call Begin.
 func (p *Pool) Choose(now time.Time, req Request) (Choice, Reason) {
 	reason := NoReplica
-	var open, avoided []*replica
+	open, avoided := p.open[:0], p.avoided[:0]
 	for _, r := range p.replicas {
 		if r.Service != req.Service || r.Draining || req.Closed[r.DataCentre] || req.Tried[r.ID] {
 			continue
 		}
-		if req.Model != "" && r.Versions[req.Model] == 0 {
-			continue
+		version := 0
+		if req.Model != "" {
+			if version = r.Versions[req.Model]; version == 0 {
+				continue
+			}
 		}
 		switch {
-		case r.reloading(now) || r.Versions[req.Model] < req.Oldest:
+		case r.reloading(now) || version < req.Oldest:
 			reason = Reloading
 		case p.cold(now, r, req.ColdRate):
 			reason = Cold
 		case now.Before(r.avoidUntil):
-			avoided = append(avoided, r)
+			avoided = append(avoided, candidate{r, version})
 		default:
-			open = append(open, r)
+			open = append(open, candidate{r, version})
 		}
 	}
+	// The slices are kept, since they are built for each request.
+	p.open, p.avoided = open, avoided
 	if len(open) == 0 && len(avoided) > 0 {
 		// A replica that failed is better than none once its first pause is over.
 		reason = Failing
@@ -181,9 +186,15 @@
 	return Choice{best.Replica, best.Versions[req.Model], cold, seen}, ""
 }
 
+// candidate is a replica that may be chosen, with its weight version of the model.
+type candidate struct {
+	*replica
+	version int
+}
+
 // retryable returns the replicas that did not fail for some time.
-func retryable(now time.Time, avoided []*replica) []*replica {
-	var out []*replica
+func retryable(now time.Time, avoided []candidate) []candidate {
+	var out []candidate
 	for _, r := range avoided {
 		pause := min(firstPause<<min(max(r.failures-1, 0), 10), longestPause)
 		if r.failures == 0 || now.Sub(r.avoidUntil.Add(-pause)) >= firstPause {
@@ -193,12 +204,12 @@
 	return out
 }
 
-func (p *Pool) best(now time.Time, req Request, open []*replica) (*replica, Seen) {
+func (p *Pool) best(now time.Time, req Request, open []candidate) (*replica, Seen) {
 	newest := 0
 	for _, r := range open {
-		newest = max(newest, r.Versions[req.Model])
+		newest = max(newest, r.version)
 	}
-	usual := usualDelay(open)
+	usual := p.usualDelay(now, req.Service, open)
 	first, second := homes(req.Home, open)
 	gain := homeGain + time.Duration(req.Missing)*missingGain
 	some := drawn(req.Draw, open)
@@ -209,12 +220,12 @@
 		if !some[i] && i != first && i != second && r.ID != req.Reader {
 			continue
 		}
-		seen, ok := p.estimate(now, req, r, usual)
+		seen, ok := p.estimate(now, req, r.replica, usual)
 		if !ok {
 			continue
 		}
 		cost := seen.Delay
-		if r.Versions[req.Model] < newest {
+		if r.version < newest {
 			cost += oldVersionDelay
 		}
 		switch {
@@ -226,7 +237,7 @@
 			cost -= gain / 2
 		}
 		if best == nil || cost < least || cost == least && r.ID < best.ID {
-			best, bestSeen, least = r, seen, cost
+			best, bestSeen, least = r.replica, seen, cost
 		}
 	}
 	return best, bestSeen
@@ -238,7 +249,7 @@
 const compared = 3
 
 // drawn chooses the replicas that a request is compared at; no draw means all.
-func drawn(draw uint64, all []*replica) []bool {
+func drawn(draw uint64, all []candidate) []bool {
 	some := make([]bool, len(all))
 	if draw == 0 || len(all) <= compared {
 		for i := range some {
@@ -326,8 +337,20 @@
 	return 1 / (1 + age*age)
 }
 
+// usualFor is how long the usual delay of a service is taken as it was.
+const usualFor = 50 * time.Millisecond
+
+// usual is the usual delay of a service's replicas at a moment.
+type usual struct {
+	at    time.Time
+	delay time.Duration
+}
+
 // usualDelay is the median of the replicas' delays.
-func usualDelay(all []*replica) time.Duration {
+func (p *Pool) usualDelay(now time.Time, service string, all []candidate) time.Duration {
+	if u, ok := p.usual[service]; ok && now.Sub(u.at) < usualFor && !now.Before(u.at) {
+		return u.delay
+	}
 	var delays []time.Duration
 	for _, r := range all {
 		if !r.delayAt.IsZero() {
@@ -337,8 +360,12 @@
 	if len(delays) == 0 {
 		return unknownDelay
 	}
-	sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
-	return delays[len(delays)/2]
+	slices.Sort(delays)
+	if p.usual == nil {
+		p.usual = map[string]usual{}
+	}
+	p.usual[service] = usual{now, delays[len(delays)/2]}
+	return p.usual[service].delay
 }
 
 // cold reports whether a replica is cold and this instance has used its share
@@ -370,14 +397,17 @@
 
 // homes returns the indexes of the two replicas that a context returns to, by
 // rendezvous hashing; -1 if there is none.
-func homes(key string, all []*replica) (first, second int) {
+func homes(key string, all []candidate) (first, second int) {
 	first, second = -1, -1
 	if key == "" {
 		return first, second
 	}
 	var top, next uint64
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], xxhash.Sum64String(key))
 	for i, r := range all {
-		s := xxhash.Sum64String(key + "\x00" + r.ID)
+		binary.LittleEndian.PutUint64(pair[8:], r.hash)
+		s := xxhash.Sum64(pair[:])
 		switch {
 		case first < 0 || s > top:
 			second, next = first, top
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -112,6 +112,10 @@
 	ColdOvershoot, ColdSlack float64
 
 	replicas map[string]*replica
+	// usual has the usual delay of each service.
+	usual map[string]usual
+	// open and avoided are used by Choose.
+	open, avoided []candidate
 }
 
 // Set adds a replica or takes its new state.
--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -31,7 +31,7 @@
 	// stepEvery is the pause between two looks at what there is to do.
 	stepEvery = 50 * time.Millisecond
 	// idleEvery is that pause while another instance holds the duty.
-	idleEvery = 250 * time.Millisecond
+	idleEvery = 500 * time.Millisecond
 	// reportEvery is the pause between two questions whether weights are loaded.
 	reportEvery = 80 * time.Millisecond
 	// loadLimit is how long the loading of weights is watched.
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -100,7 +100,7 @@
 		g.Nudge()
 	}
 	if !counts {
-		m.Loads = nil
+		m.Loads = message.LoadTable{}
 	}
 	g.Upstreams.Hear(now, m)
 }
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -203,29 +203,29 @@
 type Gossip struct {
 	neighbours.Hello
 	// Holder is true if the sender holds the duties.
-	Holder bool `json:"holder,omitempty"`
+	Holder bool `cbor:"31,keyasint,omitempty"`
 	// Duty is what the holder of the duties said last, as far as the sender knows.
-	Duty HolderWord `json:"duty"`
+	Duty HolderWord `cbor:"32,keyasint"`
 	// Views are those of the operators' records and of the list of replicas.
-	Views []ViewState `json:"views"`
+	Views []ViewState `cbor:"33,keyasint"`
 	// Loads is the work in flight of those for whom the sender speaks.
-	Loads []ReplicaLoad `json:"loads,omitempty"`
+	Loads LoadTable `cbor:"34,keyasint"`
 	// Loaded lists the replicas whose weights changed lately.
-	Loaded []ReplicaVersion `json:"loaded,omitempty"`
+	Loaded []ReplicaVersion `cbor:"35,keyasint,omitempty"`
 	// Fetches has for each model the oldest weight version whose context may still
 	// be fetched from stores, for the same instances as Loads.
-	Fetches []ModelVersion `json:"fetches,omitempty"`
+	Fetches []ModelVersion `cbor:"36,keyasint,omitempty"`
 	// Named has the newest weight version of each model, and how long ago it was
 	// named.
-	Named []NamedVersion `json:"named,omitempty"`
+	Named []NamedVersion `cbor:"37,keyasint,omitempty"`
 	// Ends has the requests that were running when replicas ended.
-	Ends []ContentEnds `json:"ends,omitempty"`
+	Ends []ContentEnds `cbor:"38,keyasint,omitempty"`
 	// Positions says how far the sender has followed the receiver's stores.
-	Positions []StorePosition `json:"positions,omitempty"`
+	Positions []StorePosition `cbor:"39,keyasint,omitempty"`
 	// Stores answers Positions.
-	Stores []StoreChanges `json:"stores,omitempty"`
+	Stores []StoreChanges `cbor:"40,keyasint,omitempty"`
 	// Clock is the clock of the replicas in milliseconds; 0 if not known.
-	Clock int64 `json:"clock,omitempty"`
+	Clock int64 `cbor:"41,keyasint,omitempty"`
 }
 
 // HolderWord is what the holder of the duties said, as it is passed on.
@@ -281,15 +281,34 @@
 	ReturnAge time.Duration
 }
 
-// ReplicaLoad is the work in flight at a replica.
-type ReplicaLoad struct {
-	_       struct{} `cbor:",toarray"`
-	Replica string
-	Running int
-	Tokens  int
-	Reading int
-	// MovingMillis is the time of the transfers of context that the work waits for.
-	MovingMillis int
+// LoadTable is the work in flight at replicas, in columns, which are read in a
+// fraction of the time of rows.
+type LoadTable struct {
+	_        struct{} `cbor:",toarray"`
+	Replicas []string
+	// Figures has four numbers for each replica: the running requests, the tokens that
+	// they need, the tokens that are not read yet, and the milliseconds of the
+	// transfers of context that they wait for.
+	Figures []int
+}
+
+const loadColumns = 4
+
+// Add adds the work at a replica.
+func (t *LoadTable) Add(replica string, running, tokens, reading int, moving time.Duration) {
+	t.Replicas = append(t.Replicas, replica)
+	t.Figures = append(t.Figures, running, tokens, reading, int(moving.Milliseconds()))
+}
+
+// All calls do with each replica's work. What is missing in a table is left out.
+func (t *LoadTable) All(do func(replica string, running, tokens, reading int, moving time.Duration)) {
+	for i, r := range t.Replicas {
+		if len(t.Figures) < loadColumns*(i+1) {
+			return
+		}
+		f := t.Figures[loadColumns*i:]
+		do(r, f[0], f[1], f[2], time.Duration(f[3])*time.Millisecond)
+	}
 }
 
 // ReplicaVersion is the weight version of a model at a replica.
--- a/entry/upstreams/peers.go
+++ b/entry/upstreams/peers.go
@@ -27,12 +27,10 @@
 
 // Hear takes a peer's loads and changes of weights.
 func (u *Upstreams) Hear(now time.Time, g message.Gossip) {
-	loads := make(map[string]pool.Load, len(g.Loads))
-	for _, l := range g.Loads {
-		loads[l.Replica] = pool.Load{
-			Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, Moving: time.Duration(l.MovingMillis) * time.Millisecond,
-		}
-	}
+	loads := make(map[string]pool.Load, len(g.Loads.Replicas))
+	g.Loads.All(func(replica string, running, tokens, reading int, moving time.Duration) {
+		loads[replica] = pool.Load{Running: running, Tokens: tokens, Reading: reading, Moving: moving}
+	})
 	u.mu.Lock()
 	for _, v := range g.Named {
 		n := u.named[v.Model]
@@ -81,9 +79,7 @@
 	}
 	if g.Relation != neighbours.Apart {
 		for id, l := range u.pool.Sum(now, peers) {
-			g.Loads = append(g.Loads, message.ReplicaLoad{
-				Replica: id, Running: l.Running, Tokens: l.Tokens, Reading: l.Reading, MovingMillis: int(l.Moving.Milliseconds()),
-			})
+			g.Loads.Add(id, l.Running, l.Tokens, l.Reading, l.Moving)
 		}
 	}
 	for v, at := range u.loaded {
--- a/entry/upstreams/stores.go
+++ b/entry/upstreams/stores.go
@@ -21,7 +21,7 @@
 	// listAfterGap is the least time between two lists, which are large.
 	listAfterGap = 4 * time.Second
 	// storesEvery is the pause between two looks at which stores there are.
-	storesEvery = 200 * time.Millisecond
+	storesEvery = 300 * time.Millisecond
 	// storeBackoff is the pause after a store could not be reached.
 	storeBackoff = 400 * time.Millisecond
 )
--- a/measure/probe/platformpath.go
+++ b/measure/probe/platformpath.go
@@ -24,7 +24,7 @@
 			Views: []message.ViewState{{Next: 7, ProofAge: time.Second}, {Next: 15, ProofAge: time.Second}},
 		}
 		for i := range n {
-			g.Loads = append(g.Loads, message.ReplicaLoad{Replica: fmt.Sprintf("i-%010d", i), Running: 6, Tokens: 40_000, Reading: 2_000})
+			g.Loads.Add(fmt.Sprintf("i-%010d", i), 6, 40_000, 2_000, 0)
 		}
 		return size(g)
 	})
