--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -40,6 +40,8 @@
 	// seekEvery the pause between two tries at listed instances that nobody knows.
 	planEvery = time.Second
 	seekEvery = 2 * time.Second
+	// seekAtOnce is how many of them an instance tries at once that knows no other.
+	seekAtOnce = 8
 	// readAfter is how long a new instance waits for news of others before it takes
 	// itself for a reader, unless it is a seed, to which the others turn first.
 	readAfter = 120 * time.Millisecond
@@ -277,22 +279,23 @@
 }
 
 // seek tries instances that the platform lists or that are seeds, and that are not
-// known yet: all if no other is known, else one, since two parts of the fleet may
+// known yet: some if no other is known, else one, since two parts of the fleet may
 // not know of each other.
 func (n *Neighbours) seek(now time.Time) {
 	if now.Sub(n.sought) < seekEvery {
 		return
 	}
 	n.sought = now
-	alone := n.members.Living() == 0
+	left := 1
+	if n.members.Living() == 0 {
+		left = seekAtOnce
+	}
 	for address := range n.listed {
-		if _, known := n.members.Member(address); known {
+		if _, known := n.members.Member(address); known || left == 0 {
 			continue
 		}
 		n.meet(now, address)
-		if !alone {
-			return
-		}
+		left--
 	}
 }
 
