Tell a process that has just started all, and call less often in large fleets

Cause 1: an instance confirmed a peer's stamp also of messages that were meant for its process before, which had only the news; the peer then took all as told, and the new process knew 54 of 194 members for good. Cause 2: an instance that started again heard from peers that took it for known, so that it had their names but not their entries, and called nobody.

Change: a stamp counts only if the message was made for this process or for none; each message has the sender's own entry; a peer that is no known member is called.

Change: a child calls each 240 ms; a root that was just called waits, up to 400 ms; a log that has nothing to write sleeps. Fleets of up to 16 call as before. Ruled out: fewer events of streams in a write, which would make callers wait.

--- a/core/neighbours/hello.go
+++ b/core/neighbours/hello.go
@@ -20,7 +20,11 @@
 		restarted = true
 		p.start, p.stamp, p.synced = m.Start, 0, time.Time{}
 	}
-	p.stamp = max(p.stamp, m.Stamp)
+	if m.EchoStart == n.start || m.EchoStart == 0 {
+		// What was told to another process of this instance is not confirmed: it had
+		// only the news for that one.
+		p.stamp = max(p.stamp, m.Stamp)
+	}
 	if m.EchoStart == n.start {
 		p.synced = later(p.synced, n.began.Add(m.Echo))
 	}
@@ -29,6 +33,7 @@
 	}
 	p.name, p.centre, p.leaving, p.relation, p.root = m.Name, m.DataCentre, m.Leaving, m.Relation, m.Root
 	p.reaches, p.heard = m.Reaches, now
+	n.postpone(now, p)
 	return news, restarted
 }
 
@@ -71,7 +76,9 @@
 	if p, ok := n.peers[to]; ok {
 		since, m.Echo, m.EchoStart = p.synced, p.stamp, p.start
 	}
-	m.Members = n.members.Since(since)
+	// The own entry is always told: the peer's process may be a new one, which knows
+	// nothing of what was told before.
+	m.Members = append(n.members.Since(since), n.members.Self)
 	return m, since
 }
 
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -16,9 +16,15 @@
 const (
 	// Every is the pause between two calls of a peer.
 	Every = 160 * time.Millisecond
+	// childEvery is that pause for a child, and besideEvery for a root that was just
+	// called by the other one: an exchange tells both, but only the caller can tell
+	// how old what it hears is, so that each calls at least each besideLongest.
+	childEvery    = 240 * time.Millisecond
+	besideEvery   = 200 * time.Millisecond
+	besideLongest = 400 * time.Millisecond
 	// shortestWait and longestWait bound the time between two looks at who is due.
 	shortestWait = Every / 8
-	longestWait  = Every
+	longestWait  = childEvery
 	// slowest is the longest pause between tries at a peer that does not answer, and
 	// slowestSilent at one that has not answered for silentAfter.
 	slowest       = time.Second
@@ -75,7 +81,8 @@
 	Reaches bool `cbor:"7,keyasint,omitempty"`
 	// Start differs between the processes that an instance had, and Stamp orders the
 	// messages of one. Echo is the newest stamp that the sender has from the
-	// receiver's process EchoStart: all that was told before has arrived.
+	// receiver's process EchoStart: all that was told before has arrived. EchoStart is
+	// 0 if the sender does not know the receiver's process yet.
 	Start     uint64        `cbor:"8,keyasint"`
 	Stamp     time.Duration `cbor:"9,keyasint"`
 	Echo      time.Duration `cbor:"10,keyasint"`
@@ -93,7 +100,9 @@
 	added   time.Time
 	failed  int
 	next    time.Time
-	busy    bool
+	// called is when the last call of it was answered.
+	called time.Time
+	busy   bool
 	// again asks for a call right after the one that is under way, ask for one of a
 	// peer that is not called as a rule.
 	again, ask             bool
@@ -160,7 +169,7 @@
 	n.look(now)
 	wanted := n.wanted()
 	for _, p := range n.peers {
-		if _, ok := wanted[p.address]; !ok && !p.called(now, all) {
+		if _, ok := wanted[p.address]; !ok && !n.extra(now, p, all) {
 			continue
 		}
 		if p.busy && all {
@@ -184,7 +193,7 @@
 	wait := longestWait
 	wanted := n.wanted()
 	for _, p := range n.peers {
-		if _, ok := wanted[p.address]; !p.busy && (ok || p.called(now, false)) {
+		if _, ok := wanted[p.address]; !p.busy && (ok || n.extra(now, p, false)) {
 			wait = min(wait, p.next.Sub(now))
 		}
 	}
@@ -199,10 +208,10 @@
 	}
 }
 
-// called reports whether a peer is called that is not in the plan: one that has
-// news, a child that has fallen silent or is to hear news at once, and one that has
-// not told who it is.
-func (p *peer) called(now time.Time, all bool) bool {
+// extra reports whether a peer is called that is not in the plan: one that has
+// news, a child that has fallen silent or is to hear news at once, and one that is
+// not known as a member.
+func (n *Neighbours) extra(now time.Time, p *peer, all bool) bool {
 	if p.ask {
 		return true
 	}
@@ -210,7 +219,8 @@
 		silent := now.Sub(p.heard)
 		return all || silent > childLife && silent < 2*silentAfter
 	}
-	return p.name == "" && now.Sub(p.added) < peerMemory
+	_, known := n.members.Member(p.address)
+	return !known && now.Sub(p.added) < peerMemory
 }
 
 // wanted returns the peers of the plan.
@@ -322,7 +332,7 @@
 	p.busy = false
 	if ok {
 		changed = p.failed > 0
-		p.failed, p.heard, p.next = 0, now, now.Add(Every)
+		p.failed, p.heard, p.called, p.next = 0, now, now, now.Add(n.pause())
 		if p.again {
 			p.again, p.next = false, now
 		}
@@ -340,6 +350,23 @@
 	return changed
 }
 
+// pause is the time between two calls of a peer. A full mesh has no children.
+func (n *Neighbours) pause() time.Duration {
+	if n.plan.Root {
+		return Every
+	}
+	return childEvery
+}
+
+// postpone puts off the call of a root that has just called, in fleets that are more
+// than a full mesh.
+func (n *Neighbours) postpone(now time.Time, p *peer) {
+	if !n.plan.Root || p.relation != Beside || n.members.Living() < overlay.RootLimit || p.called.IsZero() {
+		return
+	}
+	p.next = later(p.next, earlier(now.Add(besideEvery), p.called.Add(besideLongest)))
+}
+
 // Living returns the number of other instances that are thought to live.
 func (n *Neighbours) Living() int { return n.members.Living() }
 
@@ -357,6 +384,13 @@
 	return crew.New(n.self.Address, sharing)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -1,7 +1,7 @@
 // Package overlay decides with which other instances an instance exchanges state,
 // so that the number of exchanges does not grow with the fleet. A few roots of
 // each data centre exchange with all other roots; each other instance exchanges
-// with one root of its data centre. A fleet of up to rootLimit instances is a full
+// with one root of its data centre. A fleet of up to RootLimit instances is a full
 // mesh.
 package overlay
 
@@ -13,8 +13,8 @@
 )
 
 const (
-	// rootLimit is the number of roots in all, if there are no more data centres.
-	rootLimit = 16
+	// RootLimit is the number of roots in all, if there are no more data centres.
+	RootLimit = 16
 	// fallbacks is how many further members of another data centre are tried, in
 	// roots, while its roots do not answer.
 	fallbacks = 3
@@ -51,7 +51,7 @@
 	for _, n := range others {
 		centres[n.DataCentre] = append(centres[n.DataCentre], n)
 	}
-	roots := max(1, rootLimit/len(centres))
+	roots := max(1, RootLimit/len(centres))
 	var plan Plan
 	for name, nodes := range centres {
 		sortNodes(nodes)
--- a/shell/logsink/logsink.go
+++ b/shell/logsink/logsink.go
@@ -88,8 +88,9 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
+	// The timer runs only while a line waits, so that an idle process sleeps on.
+	timer := time.NewTimer(flushEvery)
+	defer timer.Stop()
 	var buf []byte
 	for {
 		select {
@@ -98,11 +99,14 @@
 				s.write(buf)
 				return
 			}
+			if len(buf) == 0 {
+				timer.Reset(flushEvery)
+			}
 			buf = append(buf, line...)
 			if len(buf) < batch {
 				continue
 			}
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		s.write(buf)
 		buf = buf[:0]
