Play badly framed answers, and log nothing of what they hold

Cause: operators of similar systems met a late second copy of an answer on a connection in use again, answers that broke off halfway, and answers of a byte now and then. Six cases of whole instances show what callers get here; all pass on the code as it was: no other request gets the copy, nothing short looks complete, a trickle ends at the route's timeout, a slow sound stream is whole.

Found beside it: the HTTP library wrote the first bytes of a copy that nobody waited for, which are a caller's, to the standard logger. Change: what libraries write goes to the log up to the first quotation. Test: TestLibraryLogQuotesNothing, which names the case.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -75,6 +76,8 @@
 	}
 	logger := log.NewLogfmtLogger(out)
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{logger})
 	// SIGHUP would end the process, so it is caught from the start.
 	hup := make(chan os.Signal, 1)
 	if d.Reload != nil {
