Keep the requests to a replica within the limit that it states

Cause: no instance read the limit that a replica states in its responses.

Change: a limit is read in the adapter, merged by the order of request and response (statedlimit), and sent to peers. Up to three instances, chosen by hashing, grant fixed shares of it (grantors, limiter); any instance asks them for each request (denials, replicalimits). The parts of a partitioned fleet use less than one and a half limits. The grant is checked again right before the write, for each attempt. Commands and reports of the leader count too. Context is planned after the grant, so that a denied request reserves nothing. Logs name each change of a limit and its source; limit_grants and limits_in_force count.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -172,6 +172,22 @@
 	return out
 }
 
+// Responsive returns the addresses of the other members with status Alive, and the number
+// of the other members that may be alive, which includes those that are unreachable.
+func (m *Membership) Responsive() (alive []netip.AddrPort, all int) {
+	alive = make([]netip.AddrPort, 0, 1+len(m.members))
+	for _, e := range m.members {
+		switch e.Status {
+		case Alive:
+			alive = append(alive, e.Address)
+			all++
+		case Unreachable:
+			all++
+		}
+	}
+	return alive, all
+}
+
 // AliveCount returns the number of members with status Alive, without this one.
 func (m *Membership) AliveCount() int {
 	n := 0
--- a/core/peering/fleet_test.go
+++ b/core/peering/fleet_test.go
@@ -57,6 +57,8 @@
 	// update is the number of the newest update that it has received.
 	update int
 	calls  int
+	// limits is its state in the model of limits; nil in other tests.
+	limits *limitState
 }
 
 type event struct {
@@ -304,9 +306,10 @@
 // call sends a request to a peer. It ends with the response or with the time-out.
 func (f *fleet) call(n *node, to netip.AddrPort) {
 	process, done := n.process, false
-	request, _ := n.RequestHeader(f.now, to)
+	request, since := n.RequestHeader(f.now, to)
 	request.ReachesLog = true
 	update := n.update
+	stated := n.limits.changedSince(f.now, since)
 	finish := func(ok bool) {
 		if !done && n.up && n.process == process {
 			done = true
@@ -317,11 +320,13 @@
 	o := f.byAddress[to]
 	f.send(n, o, func() {
 		o.Receive(f.now, request)
+		o.mergeLimits(f.now, request.Address, stated)
 		if update > o.update {
 			o.CallSoon(f.now, request.Address)
 		}
-		response, _ := o.ResponseHeader(f.now, request)
+		response, since := o.ResponseHeader(f.now, request)
 		response.ReachesLog = true
+		stated := o.limits.changedSince(f.now, since)
 		peerUpdate := o.update
 		f.send(o, n, func() {
 			if done || n.process != process {
@@ -329,6 +334,7 @@
 			}
 			finish(true)
 			n.Receive(f.now, response)
+			n.mergeLimits(f.now, to, stated)
 			if peerUpdate > n.update {
 				n.update, n.callAll = peerUpdate, true
 			}
--- a/core/peering/header.go
+++ b/core/peering/header.go
@@ -21,6 +21,13 @@
 		restarted = true
 		p.process, p.stamp, p.synced = h.Process, 0, time.Time{}
 	}
+	offset := now.Sub(pg.startedAt) - h.Stamp
+	if restarted || offset < p.offset {
+		p.offset = offset
+	}
+	if p.delay = offset - p.offset; restarted {
+		p.delay = unknownDelay
+	}
 	if h.EchoProcess == pg.process || h.EchoProcess == 0 {
 		// A message for an earlier process of this instance is not acknowledged, since it
 		// has only the changes which that process had not received.
@@ -38,6 +45,16 @@
 	return urgent, restarted
 }
 
+// Delay returns by how much longer the last message of a peer took than its fastest one,
+// so that the ages in it can be corrected. A frozen or slow instance may receive a message
+// long after it was sent.
+func (pg *Peering) Delay(address netip.AddrPort) time.Duration {
+	if p, ok := pg.peers[address]; ok {
+		return p.delay
+	}
+	return unknownDelay
+}
+
 // RequestHeader returns the header of a request to a peer, and the moment since which
 // changes must be sent with it; the zero time means everything.
 func (pg *Peering) RequestHeader(now time.Time, to netip.AddrPort) (h Header, since time.Time) {
--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/overlay"
@@ -60,6 +61,11 @@
 	// readDelay is how long a new instance waits for messages of others before it may
 	// become a reader. It does not apply to a seed, which the others call first.
 	readDelay = 120 * time.Millisecond
+	// grantDelay is how long a new instance does not grant requests within limits. Until
+	// then it may not know the others, who share the limits.
+	grantDelay = 2 * time.Second
+	// unknownDelay is assumed as the delay of the first message of a process.
+	unknownDelay = 500 * time.Millisecond
 )
 
 // Relation is the position of the sender of a Header in the overlay, relative to its
@@ -132,6 +138,10 @@
 	process uint64
 	stamp   time.Duration
 	synced  time.Time
+	// offset is the lowest difference observed between the time since the start here and
+	// the stamp of a message at its receipt, and delay by how much the last message
+	// exceeded it.
+	offset, delay time.Duration
 }
 
 // Peering is the state of an instance's exchanges with its peers. Start must be called
@@ -420,6 +430,24 @@
 	return limitgroup.New(pg.self.Address, sharers)
 }
 
+// Grantors returns the instances that grant requests within limits: the members with
+// status Alive, and this instance unless it has just started or has left.
+func (pg *Peering) Grantors(now time.Time) grantors.Grantors {
+	alive, all := pg.members.Responsive()
+	for address, since := range pg.listed {
+		if _, known := pg.members.Member(address); !known && now.Sub(since) < listedTTL {
+			all++
+		}
+	}
+	if pg.members.Self.Status == membership.Alive {
+		all++
+		if now.Sub(pg.startedAt) >= grantDelay {
+			alive = append(alive, pg.self.Address)
+		}
+	}
+	return grantors.New(pg.self.Address, alive, all)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -31,6 +31,8 @@
 	ColdRate float64
 	// Memory is the memory of a replica in tokens; 0 if it has no limit.
 	Memory int
+	// Priority orders the requests to replicas that state limits; 0 is the most urgent.
+	Priority int
 	// SampleSeed selects the replicas that are compared, and differs between
 	// requests; 0 compares all.
 	SampleSeed uint64
@@ -72,7 +74,8 @@
 // Reason says why no replica was chosen.
 type Reason string
 
-// The reasons. If both Reloading and Cold apply, either is returned.
+// The reasons. If both Reloading and Cold apply, either is returned. Limited is returned
+// only if no other one applies.
 const (
 	// NoReplica means that no replica of the service holds the model, or that those
 	// that do are draining, in closed data centres or already tried.
@@ -82,6 +85,8 @@
 	// Cold means that this instance has used up its share of the limits of cold
 	// replicas.
 	Cold Reason = "cold"
+	// Limited means that no request is left within the limits that replicas state.
+	Limited Reason = "limited"
 	// Failing means that all replicas failed or refused requests shortly before.
 	Failing Reason = "failing"
 	// Full means that all replicas are full.
@@ -95,8 +100,14 @@
 	Version int
 	// Cold is true if the replica is cold, so that the request counts against its
 	// limit.
-	Cold     bool
+	Cold bool
+	// Limited is true if the replica has stated a limit, so that the request must be
+	// granted before it is sent.
+	Limited  bool
 	Estimate Estimate
+	// Wait is the time until a limited replica may take the request, if the reason is
+	// Limited.
+	Wait time.Duration
 }
 
 // Estimate is the load of a replica, and the delay expected there for a request.
@@ -158,6 +169,7 @@
 // counts against its limit. The caller must call Begin.
 func (p *Pool) Choose(now time.Time, req Request) (Choice, Reason) {
 	reason := NoReplica
+	var wait time.Duration
 	eligible, avoided := p.eligible[:0], p.avoided[:0]
 	for _, r := range p.replicas {
 		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || req.Tried[r.ID] {
@@ -174,6 +186,10 @@
 			reason = Reloading
 		case p.coldLimited(now, r, req.ColdRate):
 			reason = Cold
+		case r.deferred(now, req.Priority):
+			if left := r.deferredUntil.Sub(now); wait == 0 || left < wait {
+				wait = left
+			}
 		case now.Before(r.avoidUntil):
 			avoided = append(avoided, candidate{r, version})
 		default:
@@ -194,8 +210,11 @@
 		best, estimate = p.best(now, req, eligible)
 	}
 	if best == nil {
-		if len(eligible) > 0 {
+		switch {
+		case len(eligible) > 0:
 			reason = Full
+		case wait > 0 && reason == NoReplica:
+			return Choice{Wait: wait}, Limited
 		}
 		return Choice{}, reason
 	}
@@ -203,7 +222,9 @@
 	if cold {
 		best.coldBudget--
 	}
-	return Choice{best.Replica, best.Versions[req.Model], cold, estimate}, ""
+	return Choice{
+		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate,
+	}, ""
 }
 
 // candidate is a replica to choose from, with its weight version of the model.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/limitgroup"
+	"crocusfold.dev/core/statedlimit"
 )
 
 // Replica is a replica's entry in the list of replicas.
@@ -87,6 +88,11 @@
 	// the replica is cold. It was last refilled at coldBudgetAt.
 	coldBudget   float64
 	coldBudgetAt time.Time
+	// limit is the limit that the replica last stated. Requests with the priority
+	// deferredPriority or a less urgent one are not granted before deferredUntil.
+	limit            statedlimit.Limit
+	deferredUntil    time.Time
+	deferredPriority int
 	// meanDelay is the moving average of the time until a response starts.
 	meanDelay   time.Duration
 	meanDelayAt time.Time
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"crocusfold.dev/core/limitgroup"
+	"crocusfold.dev/core/statedlimit"
 	"crocusfold.dev/script"
 )
 
@@ -66,6 +67,14 @@
 		p.ResponseStarted(at(args[1]), args[2], Load{}, time.Duration(number(args[3]))*time.Millisecond)
 	case "observed":
 		p.ObserveVersion(args[1], "m", number(args[2]))
+	case "limit":
+		// limit MS ID RATE (none ends it). The request was sent at that time, and the
+		// response received 20 ms later.
+		rate, err := strconv.ParseFloat(args[3], 64)
+		p.ObserveLimit(at(args[1]), args[2], 0, statedlimit.Statement{Limited: err == nil, Rate: rate, SentAt: at(args[1]), ReceivedAt: at(args[1]).Add(20 * time.Millisecond)})
+	case "defer":
+		// defer MS ID PRIORITY UNTIL-MS.
+		p.Defer(at(args[1]), args[2], number(args[3]), at(args[4]))
 	case "choose":
 		return []string{choose(p, args)}
 	case "burst":
@@ -96,7 +105,7 @@
 	return r
 }
 
-// choose parses: choose MS [model] [tokens=N] [min-version=N] [closed=DC] [tried=ID]
+// choose parses: choose MS [model] [tokens=N] [min-version=N] [priority=N] [closed=DC] [tried=ID]
 // [affinity-key=KEY] [prefill-replica=ID] [missing=N] [transfer=DC:MS].
 func choose(p *Pool, args []string) string {
 	req := Request{Service: "s", ColdRate: coldRate, ClosedDataCentres: map[string]bool{}, Tried: map[string]bool{}}
@@ -107,6 +116,8 @@
 			req.Model, req.Memory = "m", memory
 		case "tokens":
 			req.Tokens = number(value)
+		case "priority":
+			req.Priority = number(value)
 		case "min-version":
 			req.MinVersion = number(value)
 		case "closed":
@@ -125,6 +136,9 @@
 		}
 	}
 	c, reason := p.Choose(at(args[1]), req)
+	if c.Wait > 0 {
+		return fmt.Sprintf("%s after %v", reason, c.Wait)
+	}
 	if reason != "" {
 		return string(reason)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// Debit takes n tokens, even if fewer are left.
+func (b *Bucket) Debit(n float64) { b.used += n }
+
 // Take takes up to n tokens and returns how many. If none is available, it returns 0
 // and the time until the next one. The rate is in tokens per second; a burst below 1
 // counts as 1.
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -218,10 +218,10 @@
 }
 
 // Refused records that an engine refused a command. It is sent again after
-// refusedRetryDelay.
-func (rl *Reload) Refused(now time.Time, id string) {
+// refusedRetryDelay, or after the pause that calls to the engine require if that is longer.
+func (rl *Reload) Refused(now time.Time, id string, pause time.Duration) {
 	if p, ok := rl.engines[id]; ok {
-		p.nextCommand = now.Add(refusedRetryDelay)
+		p.nextCommand = now.Add(max(refusedRetryDelay, pause))
 		rl.engines[id] = p
 	}
 }
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -27,7 +27,7 @@
 			case "adopt":
 				rl.Adopt(at(args[1]), at(args[2]), args[3])
 			case "refused":
-				rl.Refused(at(args[1]), args[2])
+				rl.Refused(at(args[1]), args[2], 0)
 			case "drained":
 				return []string{strings.Join(rl.Drained(), " ")}
 			}
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -152,6 +152,8 @@
 type ResponseInfo struct {
 	// ID is the id of the request that the response belongs to.
 	ID string
+	// Succeeded is true if the replica ran the request and it did not fail.
+	Succeeded bool
 	// Refused is true if the request was not run. Misdirected is true if it was
 	// refused because another replica responded or the weight version differs.
 	Refused, Misdirected bool
@@ -163,6 +165,11 @@
 	Running, Waiting int
 	// Version is the weight version that the replica holds; 0 if not stated.
 	Version int
+	// Limit is the number of requests per second that the replica takes from all
+	// instances together. HasLimit is false if it states none, and LimitInvalid true if it
+	// states something that is no limit.
+	Limit                  float64
+	HasLimit, LimitInvalid bool
 	// KeepAlive is how long the connection may stay idle; 0 if not stated.
 	KeepAlive time.Duration
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -22,8 +22,10 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/membership"
+	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/topicview"
@@ -33,6 +35,7 @@
 	"crocusfold.dev/entry/leader"
 	"crocusfold.dev/entry/peerrpc"
 	"crocusfold.dev/entry/relay"
+	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/shell/clock"
@@ -96,6 +99,7 @@
 	crashes      *relay.Crashes
 	endpoint     *peerrpc.Endpoint
 	retryBudgets *retry.Budgets
+	limits       *replicalimits.ReplicaLimits
 	leaving      atomic.Bool
 	openConns    atomic.Int64
 
@@ -148,13 +152,24 @@
 	e.replicas.CleansStores, e.replicas.FollowsStores = e.leader.IsLeader, e.gossip.FollowsStores
 	e.leader.NotifyPeers, e.leader.Rank, e.leader.PeersOldestFetched = e.gossip.NotifyPeers, e.gossip.Rank, e.gossip.PeersOldestFetched
 	e.retryBudgets = &retry.Budgets{Share: cfg.Bounds.RetryShare, Slack: cfg.Bounds.RetrySlack}
-	e.gossip.OnLimitGroup = func(g limitgroup.Group) {
+	outcomes := map[replicalimits.Outcome]tally.Counter{}
+	for _, o := range []replicalimits.Outcome{replicalimits.Granted, replicalimits.Denied, replicalimits.Failed} {
+		outcomes[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Counter("limit_grants")
+	}
+	e.limits = &replicalimits.ReplicaLimits{
+		Self: self, Endpoint: e.endpoint, Replicas: e.replicas, Now: now,
+		Count: func(o replicalimits.Outcome) { outcomes[o].Inc(1) },
+	}
+	e.leader.Limits = e.limits
+	e.gossip.OnLimitGroup = func(g limitgroup.Group, granting grantors.Grantors) {
 		e.replicas.SetLimitGroup(g)
+		e.limits.SetGrantors(now(), granting)
 		e.retryBudgets.SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
+		Limits: e.limits, NotifyPeers: e.gossip.NotifyPeers,
 	}
 	return e
 }
@@ -173,6 +188,7 @@
 	inFlight := scope.Gauge("in_flight")
 	root := scope.Gauge("overlay_root")
 	aliveMembers := scope.Gauge("overlay_living")
+	limitsInForce := scope.Gauge("limits_in_force")
 	e.updateGauges = func(now time.Time) {
 		if age, ok := e.topics.ProofAge(now); ok {
 			proofAge.Update(age.Seconds())
@@ -181,6 +197,7 @@
 		root.Update(gaugeValue(place.Root))
 		aliveMembers.Update(float64(alive))
 		isLeader.Update(gaugeValue(e.leader.IsLeader(now)))
+		e.replicas.WithPool(func(p *pool.Pool) { limitsInForce.Update(float64(p.CountLimited())) })
 		inFlight.Update(float64(e.relay.InFlight()))
 		for service, left := range e.retryBudgets.Left() {
 			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
@@ -218,6 +235,7 @@
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	e.gossip.Attach()
+	e.limits.Attach()
 	callerServer := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: e.countConns, ErrorLog: stdlog.New(io.Discard, "", 0),
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -88,7 +88,7 @@
 	}
 	released := p.isLeader && !m.IsLeader
 	p.oldestFetched, p.isLeader = m.OldestFetched, m.IsLeader
-	counted := g.peering.Counted(m.Address)
+	counted, delay := g.peering.Counted(m.Address), g.peering.Delay(m.Address)
 	sentAt, newest, changed := g.receiveLeaderStatus(now, m.LeaderStatus)
 	g.mu.Unlock()
 
@@ -99,7 +99,7 @@
 		g.Leader.RecordPeerLeader(sentAt, m.LeaderStatus.Loading)
 		g.Replicas.MarkReloading(sentAt, m.LeaderStatus.Drained)
 	}
-	urgent = urgent || changed
+	urgent = g.Replicas.MergeLimits(now, m.Name, delay, m.Limits) || urgent || changed
 	if g.Crashes.Merge(now, m.Crashes) || urgent {
 		g.NotifyPeers()
 	}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/lease"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/membership"
@@ -49,8 +50,9 @@
 	// Leader receives the status of the leader, and provides it if this instance is the
 	// leader.
 	Leader Leader
-	// OnLimitGroup is called regularly with the instances that share limits.
-	OnLimitGroup func(group limitgroup.Group)
+	// OnLimitGroup is called regularly with the instances that share limits, and with
+	// those that grant requests within the limits that replicas state.
+	OnLimitGroup func(group limitgroup.Group, g grantors.Grantors)
 	// Crashes merges and provides the crashes of replicas.
 	Crashes Crashes
 
@@ -238,16 +240,16 @@
 	if groupDue {
 		g.limitGroupAt = now
 	}
-	group := limitgroup.Group{}
+	group, granting := limitgroup.Group{}, grantors.Grantors{}
 	if groupDue {
-		group = g.peering.LimitGroup(now)
+		group, granting = g.peering.LimitGroup(now), g.peering.Grantors(now)
 	}
 	g.mu.Unlock()
 	if placeChanged {
 		_ = g.Logger.Log("msg", "The place among the instances changed.", "root", place.Root, "parent", place.Parent, "living", alive)
 	}
 	if groupDue {
-		g.OnLimitGroup(group)
+		g.OnLimitGroup(group, granting)
 	}
 	g.Replicas.DropPeerLoads(uncounted)
 	return calls, wait
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -17,6 +17,7 @@
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/shell/clock"
@@ -36,6 +37,8 @@
 	// reportInterval is the pause between two requests for the state of a replica that
 	// loads weights.
 	reportInterval = 80 * time.Millisecond
+	// maxReportInterval bounds that pause for a replica that states a limit.
+	maxReportInterval = time.Second
 	// loadTimeout is how long a replica that loads weights is polled.
 	loadTimeout = 2500 * time.Millisecond
 	// freeDelay is the time from the last use of weights until their context is freed
@@ -61,6 +64,9 @@
 	Replicas *replicas.Replicas
 	Now      func() time.Time
 	Logger   log.Logger
+	// Limits counts the calls to replicas against the limits that they state; nil counts
+	// none.
+	Limits *replicalimits.ReplicaLimits
 	// NotifyPeers starts an exchange of state with the peers at once.
 	NotifyPeers func()
 	// PeersOldestFetched returns the oldest weight version of a model whose context
--- a/entry/leader/reload.go
+++ b/entry/leader/reload.go
@@ -112,6 +112,7 @@
 // load commands a replica to load a version and polls it until it has. It sends no
 // command if the replica already reports the version or can't be reached.
 func (l *Leader) load(ctx context.Context, r pool.Replica, model string, a reload.Load) {
+	l.charge(ctx, r)
 	report, err := l.Control.Report(ctx, r.Address)
 	if err == nil && report.Versions[model] >= a.Version {
 		l.recordLoaded(r.ID, model, report.Versions[model])
@@ -128,7 +129,7 @@
 	if result != adapter.LoadAccepted && result != adapter.LoadNotNeeded {
 		l.mu.Lock()
 		if rl, ok := l.reloads[model]; ok {
-			rl.Refused(l.Now(), r.ID)
+			rl.Refused(l.Now(), r.ID, l.reportPause(r))
 		}
 		l.mu.Unlock()
 		return
@@ -140,7 +141,8 @@
 func (l *Leader) watch(ctx context.Context, r pool.Replica, model string, version int) {
 	startedAt := l.Now()
 	for ctx.Err() == nil && l.Now().Sub(startedAt) < loadTimeout {
-		clock.Pause(ctx, reportInterval)
+		clock.Pause(ctx, l.reportPause(r))
+		l.charge(ctx, r)
 		report, err := l.Control.Report(ctx, r.Address)
 		if err != nil {
 			continue
@@ -152,9 +154,25 @@
 	}
 }
 
+// charge counts a call to a replica against the limit that the replica states.
+func (l *Leader) charge(ctx context.Context, r pool.Replica) {
+	if l.Limits != nil {
+		l.Limits.Charge(ctx, r)
+	}
+}
+
+// reportPause returns the pause between two requests for the state of a replica.
+func (l *Leader) reportPause(r pool.Replica) time.Duration {
+	if l.Limits == nil {
+		return reportInterval
+	}
+	return max(reportInterval, min(l.Limits.Interval(r), maxReportInterval))
+}
+
 // sendCommand commands a replica to load a version. It checks leadership immediately
 // before sending, and returns LoadFenced without sending if it is lost.
 func (l *Leader) sendCommand(ctx context.Context, r pool.Replica, model string, a reload.Load, seq int) (adapter.LoadResult, error) {
+	l.charge(ctx, r)
 	l.mu.Lock()
 	fence, ok := l.lease.Token(l.Now())
 	l.mu.Unlock()
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -39,6 +39,21 @@
 	StoreChanges []StoreChanges `cbor:"40,keyasint,omitempty"`
 	// ClockMillis is the clock of the replicas in milliseconds; 0 if not known.
 	ClockMillis int64 `cbor:"41,keyasint,omitempty"`
+	// Limits has the limits of replicas, also those that have ended, that changed since
+	// the last changes that the receiver has acknowledged.
+	Limits []ReplicaLimit `cbor:"42,keyasint,omitempty"`
+}
+
+// ReplicaLimit is the newest statement of a replica about its limit, in requests per second.
+// SentAge and ReceivedAge are the ages of the request and of the response that stated it.
+type ReplicaLimit struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+	Limited     bool
+	Rate        float64
+	SentAge     time.Duration
+	ReceivedAge time.Duration
 }
 
 // LeaderStatus is the status of the leader, which instances relay to each other.
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -230,6 +230,27 @@
 	ProofAge    time.Duration      `json:"proof-age"`
 }
 
+// GrantRequest requests the grant of one request to a replica that states a limit, from
+// one of the grantors of its limit; the response is GrantResponse.
+type GrantRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+	// Rate is the limit that the sender knows.
+	Rate     float64
+	Priority int
+	// Charge is true if the request is sent in any case and only has to be counted.
+	Charge bool
+}
+
+// GrantResponse is the response to GrantRequest. If Granted is false, Wait is the time
+// after which the request is to be repeated.
+type GrantResponse struct {
+	_       struct{} `cbor:",toarray"`
+	Granted bool
+	Wait    time.Duration
+}
+
 func (Gossip) message()               {}
 func (ViewRequest) message()          {}
 func (ViewResponse) message()         {}
@@ -259,6 +280,8 @@
 func (CachedBlocksResponse) message() {}
 func (FingerprintLock) message()      {}
 func (LoadPermit) message()           {}
+func (GrantRequest) message()         {}
+func (GrantResponse) message()        {}
 
 // Codec encodes messages as CBOR, each with the number given here. The numbers are part
 // of the wire format.
@@ -292,4 +315,6 @@
 	codec.Case(27, func(m ViewResponse) Message { return m }),
 	codec.Case(28, func(m BansRequest) Message { return m }),
 	codec.Case(29, func(m Bans) Message { return m }),
+	codec.Case(30, func(m GrantRequest) Message { return m }),
+	codec.Case(31, func(m GrantResponse) Message { return m }),
 )
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -18,6 +18,7 @@
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
+	"crocusfold.dev/core/statedlimit"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/message"
@@ -40,6 +41,12 @@
 	// response of a replica that refused the request.
 	discardTimeout  = time.Second
 	maxDiscardBytes = 4 << 10
+	// maxGrantRequests bounds the number of limited replicas for which one request asks
+	// for a grant before it waits for placementInterval.
+	maxGrantRequests = 4
+	// maxUngranted bounds how often one request is placed again because a replica stated a
+	// limit before the request was sent.
+	maxUngranted = 3
 )
 
 // retryAfterByReason has the Retry-After delay of refusals by their reason.
@@ -49,6 +56,7 @@
 	pool.Cold:      500 * time.Millisecond,
 	pool.Failing:   600 * time.Millisecond,
 	pool.Full:      400 * time.Millisecond,
+	pool.Limited:   400 * time.Millisecond,
 }
 
 // Failures of one attempt.
@@ -56,6 +64,7 @@
 	errRefused      = errors.New("the replica refused the request without running it")
 	errWrongRequest = errors.New("the response belongs to another request")
 	errServerError  = errors.New("the replica responded with a server error")
+	errNotGranted   = errors.New("the replica has stated a limit, and the request was not granted within it")
 )
 
 // failureName returns the label of a failure in the metrics.
@@ -89,6 +98,10 @@
 		if done {
 			return nil
 		}
+		if errors.Is(err, errNotGranted) && c.ungranted < maxUngranted {
+			c.ungranted++
+			continue
+		}
 		c.attemptedReplicas[pl.ID] = true
 		if ref := c.afterFailure(runState, err); ref != nil {
 			return ref
@@ -158,19 +171,28 @@
 	return &refusal{status: http.StatusBadGateway, code: "answer-lost"}
 }
 
-// place chooses a replica. If none can take the request now, it waits for at most
-// placementWaitShare of the target latency, and then returns a refusal. It does not wait
-// if no replica is eligible at all.
+// place chooses a replica, and has the request granted if the replica states a limit. If
+// none can take the request now, it waits for at most placementWaitShare of the target
+// latency, and then returns a refusal. It does not wait if no replica is eligible at all,
+// or if no limit has room within that time.
 func (c *call) place() (*replicas.Placement, *refusal) {
 	wait := defaultPlacementWait
 	if c.route.TargetLatency > 0 {
 		wait = time.Duration(placementWaitShare * float64(c.route.TargetLatency))
 	}
 	req := c.placementRequest()
-	for {
+	for asked := 0; ; {
 		now := c.relay.Now()
-		pl, reason := c.relay.Replicas.Place(now, req)
-		if reason == "" {
+		pl, ref := c.relay.Replicas.Place(now, req)
+		if pl != nil && pl.Limited && !c.acquireGrant(pl, req.Priority) {
+			c.relay.Replicas.End(pl)
+			if asked++; asked%maxGrantRequests != 0 && c.ctx.Err() == nil {
+				continue
+			}
+			pl, ref = nil, replicas.Refusal{Reason: pool.Limited}
+		}
+		reason := ref.Reason
+		if pl != nil {
 			c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
 			c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
 			if pl.Cold {
@@ -180,11 +202,11 @@
 			c.summary.placementTime = now.Sub(c.began)
 			return pl, nil
 		}
-		if now.Sub(c.began) > wait || reason == pool.NoReplica {
+		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica {
 			if c.policy.Runs() > 0 {
 				return nil, c.responseLost()
 			}
-			return nil, notRun(string(reason), retryAfterByReason[reason])
+			return nil, notRun(string(reason), max(retryAfterByReason[reason], ref.Wait))
 		}
 		timer := time.NewTimer(placementInterval)
 		select {
@@ -202,11 +224,24 @@
 	}
 }
 
+// acquireGrant requests the grant of a placed request to a limited replica. If it is
+// denied, the replica gets no such request until a grant may be available.
+func (c *call) acquireGrant(pl *replicas.Placement, priority int) bool {
+	wait, ok := c.relay.Limits.Acquire(c.ctx, pl.Replica, priority)
+	now := c.relay.Now()
+	if !ok {
+		c.relay.Replicas.WithPool(func(p *pool.Pool) { p.Defer(now, pl.ID, priority, now.Add(wait)) })
+		return false
+	}
+	c.relay.Replicas.Granted(now, pl)
+	return true
+}
+
 // placementRequest returns what the choice of a replica depends on.
 func (c *call) placementRequest() replicas.PlacementRequest {
 	req := replicas.PlacementRequest{Request: pool.Request{
 		Service: c.service.Name, ColdRate: c.service.ColdRate, ClosedDataCentres: c.intent.ClosedDataCentres, Tried: c.attemptedReplicas,
-		SampleSeed: xxhash.Sum64String(c.info.ID) | 1,
+		SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
@@ -230,7 +265,14 @@
 // the request, and err why the attempt failed.
 func (c *call) attempt(pl *replicas.Placement) (done bool, runState attempt.RunState, err error) {
 	rs := c.relay.Replicas
-	att := &attempt.Attempt{}
+	var ungranted atomic.Bool
+	att := &attempt.Attempt{Guard: func(time.Time) error {
+		if !rs.MaySend(c.relay.Now(), pl) {
+			ungranted.Store(true)
+			return errNotGranted
+		}
+		return nil
+	}}
 	sentAt := c.relay.Now()
 	var conn connUse
 	ctx := guard.WithAttempt(c.ctx, att, func(used *guard.Conn) { conn.firstUsed.Store(used.FirstUse(c.relay.Now())) })
@@ -239,6 +281,9 @@
 	if err != nil {
 		// A later write would contradict the run state that is reported from here on.
 		att.Revoke()
+		if ungranted.Load() {
+			return false, att.RunState(), errNotGranted
+		}
 		mayHaveRun := att.RunState() != attempt.NotRun
 		switch {
 		case c.ctx.Err() != nil && mayHaveRun:
@@ -254,7 +299,7 @@
 		return false, att.RunState(), err
 	}
 	respInfo := c.relay.Dialect.ParseResponse(resp.StatusCode, resp.Header)
-	c.observeResponse(now, pl, respInfo)
+	c.observeResponse(now, pl, respInfo, sentAt)
 	if err := c.checkResponse(now, pl, resp, respInfo); err != nil {
 		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "err", err)
 		c.relay.Metrics.countFailedAttempt(pl.Service, failureName(err))
@@ -297,10 +342,12 @@
 	return now
 }
 
-// observeResponse records what a response states about its replica: its load, the
-// keep-alive time of its connections and its weight version.
-func (c *call) observeResponse(now time.Time, pl *replicas.Placement, info adapter.ResponseInfo) {
+// observeResponse records what a response to a request sent at sentAt states about its
+// replica: its load, its limit, the keep-alive time of its connections and its weight
+// version.
+func (c *call) observeResponse(now time.Time, pl *replicas.Placement, info adapter.ResponseInfo, sentAt time.Time) {
 	rs := c.relay.Replicas
+	c.observeLimit(now, pl, info, sentAt)
 	if info.HasLoad {
 		rs.WithPool(func(p *pool.Pool) { p.SetReportedLoad(now, pl.ID, info.Running, info.Waiting) })
 	}
@@ -312,6 +359,24 @@
 	}
 }
 
+// observeLimit records the limit that a response states. A response without one shows the
+// end of a limit only if the replica certainly ran the request, since an error may come
+// from a part of it that states none.
+func (c *call) observeLimit(now time.Time, pl *replicas.Placement, info adapter.ResponseInfo, sentAt time.Time) {
+	if info.LimitInvalid {
+		c.relay.Replicas.ObserveInvalidLimit(pl.Replica)
+		return
+	}
+	elsewhere := info.Replica != "" && info.Replica != pl.ID
+	if elsewhere || info.ID != c.info.ID && info.ID != "" || !info.HasLimit && !info.Succeeded {
+		return
+	}
+	s := statedlimit.Statement{Limited: info.HasLimit, Rate: info.Limit, SentAt: sentAt, ReceivedAt: now}
+	if c.relay.Replicas.ObserveLimit(now, pl, s) {
+		c.relay.NotifyPeers()
+	}
+}
+
 // checkResponse returns an error if a response must not be passed on to the caller.
 func (c *call) checkResponse(now time.Time, pl *replicas.Placement, resp *http.Response, info adapter.ResponseInfo) error {
 	rs := c.relay.Replicas
@@ -345,6 +410,14 @@
 	return nil
 }
 
+// priority returns the priority of the request; that of the account has precedence.
+func (c *call) priority() int {
+	if c.account.HasPriority {
+		return c.account.Priority
+	}
+	return c.route.Priority
+}
+
 // hopByHopHeaders apply to one connection only and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -370,13 +443,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
-	priority := c.route.Priority
-	if c.account.HasPriority {
-		priority = c.account.Priority
-	}
 	c.relay.Dialect.RewriteHeaders(h, adapter.ForwardInfo{
 		Replica: pl.ID, TimeLeft: c.deadline.Sub(c.relay.Now()), Account: c.account.Name,
-		Salt: pl.Salt, Version: pl.Version, Priority: priority,
+		Salt: pl.Salt, Version: pl.Version, Priority: c.priority(),
 		Fetch: pl.Fetch, Save: pl.Save, FetchUntil: pl.FetchUntil,
 	})
 	path, query, _ := strings.Cut(c.r.RequestURI, "?")
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -21,6 +21,7 @@
 	"crocusfold.dev/core/route"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
+	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
 	"crocusfold.dev/entry/topics"
 )
@@ -47,10 +48,13 @@
 	Topics   *topics.Topics
 	Replicas *replicas.Replicas
 	Budgets  *retry.Budgets
+	Limits   *replicalimits.ReplicaLimits
 	Now      func() time.Time
 	Logger   log.Logger
 	Metrics  *Metrics
 	Crashes  *Crashes
+	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
+	NotifyPeers func()
 
 	keepAlivesDisabled atomic.Bool
 	inFlight           atomic.Int64
@@ -82,7 +86,10 @@
 	// deadline is when the timeout of the caller or of the route expires.
 	deadline          time.Time
 	attemptedReplicas map[string]bool
-	policy            retrypolicy.Policy
+	// ungranted is how often the request was placed again since it was not granted within
+	// the limit of its replica.
+	ungranted int
+	policy    retrypolicy.Policy
 	// retryWithdrawn is true if the next attempt was withdrawn from the retry budget
 	// already.
 	retryWithdrawn bool
--- a/entry/replicas/conns.go
+++ b/entry/replicas/conns.go
@@ -15,6 +15,8 @@
 	// keepAlive is how long the replica keeps idle connections; 0 if it has not stated
 	// a time.
 	keepAlive time.Duration
+	// invalidLimit is true after an invalid limit was logged.
+	invalidLimit bool
 }
 
 // dropConns removes the connections to a replica and closes the idle ones.
--- a/entry/replicas/peers.go
+++ b/entry/replicas/peers.go
@@ -67,7 +67,7 @@
 }
 
 // FillGossip adds to a message for a peer the oldest fetched and the named weight
-// versions, the changes of weights since a given time, and the sum of the work in flight
+// versions, the changes of weights and of limits since a given time, and the sum of the work in flight
 // of this instance and of the given peers. Unrelated instances exchange no loads.
 func (rs *Replicas) FillGossip(now time.Time, g *message.Gossip, since time.Time, peers map[string]bool) {
 	for model, oldest := range rs.OldestFetchedVersions(now) {
@@ -85,6 +85,12 @@
 			g.Loads.Add(id, l.Running, l.Tokens, l.PendingPrefill, l.PendingTransfer)
 		}
 	}
+	for _, l := range rs.pool.LimitsChangedSince(since) {
+		g.Limits = append(g.Limits, message.ReplicaLimit{
+			Replica: l.ID, Incarnation: l.Incarnation, Limited: l.Limited, Rate: l.Rate,
+			SentAge: now.Sub(l.SentAt), ReceivedAge: now.Sub(l.ReceivedAt),
+		})
+	}
 	for v, at := range rs.loadedAt {
 		if !at.Before(since) {
 			g.Loaded = append(g.Loaded, v)
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -46,6 +46,10 @@
 	// Load is what the request adds to the replica's load.
 	Load      pool.Load
 	startedAt time.Time
+	// request is the placed request, and grantedAt when it was granted within the limit of
+	// the replica; zero if it was not.
+	request   PlacementRequest
+	grantedAt time.Time
 	// responseStarted is true once the pending prefill was removed from the load.
 	responseStarted bool
 	// sources are the sources of the shared parts, as in ContextSources. fetchedFrom has
@@ -90,25 +94,35 @@
 	IsolatedAccount string
 }
 
+// Refusal says why no replica can take a request.
+type Refusal struct {
+	// Reason is empty if there is a replica.
+	Reason pool.Reason
+	// Wait is the time until a limited replica may take the request, if the reason is
+	// pool.Limited.
+	Wait time.Duration
+}
+
 // Place chooses a replica for a request, counts the request as in flight there, and
-// plans the fetches and saves of its context. If no replica can take the request, it
-// returns the reason. Call End once for each placement.
-func (rs *Replicas) Place(now time.Time, req PlacementRequest) (*Placement, pool.Reason) {
+// plans the fetches and saves of its context. At a limited replica, Granted plans them, so
+// that nothing is reserved for a request that is denied. If no replica can take the
+// request, Place returns the refusal. Call End once for each placement.
+func (rs *Replicas) Place(now time.Time, req PlacementRequest) (*Placement, Refusal) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	req.MinVersion = rs.minVersion(now, req.Model)
 	rs.locateContext(now, &req)
 	choice, reason := rs.pool.Choose(now, req.Request)
 	if reason != "" {
-		return nil, reason
+		return nil, Refusal{reason, choice.Wait}
 	}
-	p := &Placement{Choice: choice, Transport: rs.connsTo(choice.Replica).transport, startedAt: now}
+	p := &Placement{Choice: choice, Transport: rs.connsTo(choice.Replica).transport, startedAt: now, request: req}
 	p.Load = pool.Load{Tokens: req.Tokens, PendingPrefill: req.PromptTokens, PendingTransfer: choice.Estimate.TransferTime}
-	if req.Model != "" {
+	if req.Model != "" && !choice.Limited {
 		rs.planContext(now, req, p)
 	}
 	rs.pool.Begin(choice.ID, p.Load)
-	return p, ""
+	return p, Refusal{}
 }
 
 // locateContext sets the transfers of the shared parts that stores hold, the number of
--- a/entry/replicas/place_test.go
+++ b/entry/replicas/place_test.go
@@ -11,6 +11,7 @@
 	"crocusfold.dev/core/directory"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/core/statedlimit"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/shell/network"
@@ -57,14 +58,73 @@
 					p.Set(pool.Replica{ID: id, Service: "s", Slots: 4, Versions: map[string]int{"m": version}})
 				})
 			}
-			p, reason := rs.Place(now, PlacementRequest{
+			p, refusal := rs.Place(now, PlacementRequest{
 				Request: pool.Request{Service: "s", Model: "m", Memory: 10_000, Tokens: 200, Tried: attempted},
 				Parts:   []adapter.PromptPart{{ID: "p", Tokens: 100}, {ID: "own", Tokens: 100}}, PromptTokens: 200, TargetLatency: time.Second,
 			})
-			is.Equal(reason, pool.Reason(""))
+			is.Equal(refusal, Refusal{})
 			is.Equal(p.Version, 1)
 			fetched := len(p.Fetch) > 0 && p.Fetch[0].IsValid()
 			is.Equal(fetched, c.fetch)
 		})
 	}
 }
+
+// TestDeniedRequestReservesNothing guards against space in the stores that is reserved for
+// requests which their replicas' limits deny.
+func TestDeniedRequestReservesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	rs := &Replicas{
+		Network: network.Network{}, Logger: log.NewNopLogger(), Bounds: &edgeconfig.LiveBounds{}, Now: func() time.Time { return now },
+	}
+	rs.Bounds.Set(edgeconfig.Bounds{Version: time.Minute})
+	store := route.Service{Name: "kept", Store: &route.Store{Address: netip.MustParseAddrPort("10.0.0.9:80"), Capacity: 10_000}}
+	rs.Configure(&adapter.Intent{Table: route.NewTable(1, route.Limits{}, nil, []route.Service{store}, nil, false), Versions: map[string]int{"m": 1}})
+	rs.WithDirectory(func(d *directory.Directory) { d.Replace(now, "kept", directory.Listing{Epoch: 1, Last: 1}) })
+	rs.WithPool(func(p *pool.Pool) {
+		p.Set(pool.Replica{ID: "a", Service: "s", Slots: 4, Versions: map[string]int{"m": 1}})
+		p.ObserveLimit(now, "a", 0, statedlimit.Statement{Limited: true, Rate: 1, SentAt: now, ReceivedAt: now})
+	})
+	place := func() *Placement {
+		p, refusal := rs.Place(now, PlacementRequest{
+			Request: pool.Request{Service: "s", Model: "m", Memory: 10_000, Tokens: 200},
+			Parts:   []adapter.PromptPart{{ID: "p", Tokens: 160}, {ID: "own", Tokens: 40}}, PromptTokens: 200, TargetLatency: time.Second,
+		})
+		is.Equal(refusal, Refusal{})
+		return p
+	}
+	saving := func() bool {
+		pending := false
+		rs.WithDirectory(func(d *directory.Directory) {
+			_, pending = d.SavingReplica(now, directory.Part{Salt: directory.Salt("m", 1, ""), ID: "p"})
+		})
+		return pending
+	}
+	denied := place()
+	rs.End(denied)
+	is.True(!saving()) // nothing is reserved for a denied request
+	granted := place()
+	rs.Granted(now, granted)
+	is.True(saving()) // the granted one saves its part
+	rs.End(granted)
+	rs.WithPool(func(p *pool.Pool) { is.Equal(p.Load(now, "a"), pool.Load{}) })
+}
+
+// TestLastCheckBeforeSending guards against requests that are sent although their replica
+// stated a limit after they were placed, or long after they were granted.
+func TestLastCheckBeforeSending(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	rs := &Replicas{Network: network.Network{}, Logger: log.NewNopLogger(), Bounds: &edgeconfig.LiveBounds{}}
+	rs.WithPool(func(p *pool.Pool) {
+		p.Set(pool.Replica{ID: "a", Service: "s", Slots: 4, Versions: map[string]int{}})
+	})
+	p, _ := rs.Place(now, PlacementRequest{Request: pool.Request{Service: "s"}})
+	is.True(rs.MaySend(now, p)) // no limit is known
+	rs.ObserveLimit(now, p, statedlimit.Statement{Limited: true, Rate: 1, SentAt: now, ReceivedAt: now})
+	is.True(!rs.MaySend(now, p)) // the limit was stated after the request was placed
+	rs.Granted(now, p)
+	is.True(rs.MaySend(now.Add(grantTTL-1), p))
+	is.True(!rs.MaySend(now.Add(grantTTL), p)) // the grant has expired
+}
--- a/operator/command/why.go
+++ b/operator/command/why.go
@@ -44,6 +44,7 @@
 	"reloading":                {"All replicas that could run it were changing their weights.", []string{"A replica gets no new work before its weights change.", "A replica holds new weights."}},
 	"cold":                     {"All replicas that could run it were cold and at their limit of requests.", []string{"A replica changed."}},
 	"failing":                  {"All replicas that could run it had failed shortly before.", []string{"A try failed."}},
+	"limited":                  {"All replicas that could run it had stated limits, and no request was left within them.", []string{"The limit of a replica changed."}},
 	"full":                     {"All replicas that could run it were full for as long as it could wait.", []string{"A replica left the list."}},
 	"no-replica-took-it":       {"Each replica that was tried refused it or could not be reached.", nil},
 	"not-started-in-time":      {"Its deadline passed before a replica accepted it.", nil},
