Keep limits that are received before their replicas are listed

A process that has just started received the limits of its peers before the list of replicas, and forgot them: it sent to limited replicas as if there were none, until a peer refreshed them after up to 2 s. They are kept for 30 s now, until their incarnation is listed.

A limit whose value changes with each response was passed on with each message. Changes are passed on every 2 s now, or when they add up to a tenth.

TestLimitBeforeList fails without the change. core/statedlimit, T/limits and the model of nine instances pass.

--- a/core/statedlimit/statedlimit.go
+++ b/core/statedlimit/statedlimit.go
@@ -2,14 +2,18 @@
 // and merges the statements that several instances have observed.
 package statedlimit
 
-import "time"
-
-// refreshInterval is how often an unchanged limit is passed on to peers.
-const refreshInterval = 2 * time.Second
+import (
+	"math"
+	"time"
+)
 
-// urgentShare is the share by which a rate must change for the change to be passed on to
-// peers at once.
-const urgentShare = 0.1
+const (
+	// refreshInterval is how often a limit that has not changed much is passed on to peers.
+	refreshInterval = 2 * time.Second
+	// urgentShare is the share by which a rate must differ from the one last passed on to
+	// be passed on at once.
+	urgentShare = 0.1
+)
 
 // Statement is what one response of a replica stated.
 type Statement struct {
@@ -27,7 +31,7 @@
 
 // The results of Apply.
 const (
-	// None means that there is nothing to pass on.
+	// None means that there is nothing to pass on yet.
 	None Change = iota
 	// Updated means that the statement is passed on with the next message to each peer.
 	Updated
@@ -39,8 +43,10 @@
 // concurrent use.
 type Limit struct {
 	Statement
-	// ChangedAt is when the statement was last changed, or refreshed for the peers.
+	// ChangedAt is when the statement was last passed on to peers.
 	ChangedAt time.Time
+	// sentRate is the rate that was passed on then.
+	sentRate float64
 }
 
 // Known reports whether the replica has stated a limit, even if that has ended.
@@ -53,33 +59,29 @@
 	if !l.Known() && !s.Limited {
 		return None
 	}
-	if l.Known() && s.Limited == l.Limited && (!s.Limited || s.Rate == l.Rate) {
-		return l.refresh(now, s)
-	}
 	follows := !l.Known() || !s.SentAt.Before(l.ReceivedAt)
 	overlaps := s.ReceivedAt.After(l.SentAt)
 	stricter := s.Limited && (!l.Limited || s.Rate < l.Rate)
-	if !follows && !(overlaps && stricter) {
+	repeated := s.Limited == l.Limited && (!s.Limited || s.Rate == l.Rate)
+	if !follows && !(overlaps && stricter) && !repeated {
 		return None
 	}
-	urgent := s.Limited != l.Limited || s.Rate < l.Rate*(1-urgentShare) || s.Rate > l.Rate*(1+urgentShare)
+	wasLimited := l.Limited
 	s.SentAt, s.ReceivedAt = later(s.SentAt, l.SentAt), later(s.ReceivedAt, l.ReceivedAt)
-	l.Statement, l.ChangedAt = s, now
-	if urgent {
-		return Urgent
+	l.Statement = s
+	change := None
+	switch {
+	case s.Limited != wasLimited, s.Limited && math.Abs(s.Rate-l.sentRate) > l.sentRate*urgentShare:
+		change = Urgent
+	case s.Limited && now.Sub(l.ChangedAt) >= refreshInterval:
+		// Peers need the newer time even of an unchanged limit, so that they don't take an
+		// earlier response without one for its end.
+		change = Updated
 	}
-	return Updated
-}
-
-// refresh applies a statement that repeats the known one. Peers need the newer time of a
-// limit, so that they don't take an earlier response without one for its end.
-func (l *Limit) refresh(now time.Time, s Statement) Change {
-	l.SentAt, l.ReceivedAt = later(l.SentAt, s.SentAt), later(l.ReceivedAt, s.ReceivedAt)
-	if !l.Limited || now.Sub(l.ChangedAt) < refreshInterval {
-		return None
+	if change != None {
+		l.ChangedAt, l.sentRate = now, s.Rate
 	}
-	l.ChangedAt = now
-	return Updated
+	return change
 }
 
 func later(a, b time.Time) time.Time {
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -12,6 +12,16 @@
 // replica.
 const grantTTL = 500 * time.Millisecond
 
+// unmatchedTTL is how long a limit is kept for an incarnation that is not listed yet.
+const unmatchedTTL = 30 * time.Second
+
+// unmatchedLimit is a limit that a peer sent at a time.
+type unmatchedLimit struct {
+	incarnation int64
+	statedlimit.Statement
+	at time.Time
+}
+
 // ObserveLimit merges what a response to this instance stated about the limit of its
 // replica. It reports whether peers must be notified at once.
 func (rs *Replicas) ObserveLimit(now time.Time, p *Placement, s statedlimit.Statement) bool {
@@ -35,6 +45,13 @@
 func (rs *Replicas) observeLimit(now time.Time, id string, incarnation int64, s statedlimit.Statement, source string) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	if r, ok := rs.pool.Replica(id); !ok || r.Incarnation < incarnation {
+		if rs.unmatchedLimits == nil {
+			rs.unmatchedLimits = map[string]unmatchedLimit{}
+		}
+		rs.unmatchedLimits[id] = unmatchedLimit{incarnation, s, now}
+		return false
+	}
 	if rs.pool.ObserveLimit(now, id, incarnation, s) != statedlimit.Urgent {
 		return false
 	}
@@ -43,6 +60,17 @@
 	return true
 }
 
+// matchLimit applies a limit that was received before its replica was listed. A process
+// that has just started receives the limits before the list.
+func (rs *Replicas) matchLimit(now time.Time, r pool.Replica) {
+	l, ok := rs.unmatchedLimits[r.ID]
+	if !ok || l.incarnation != r.Incarnation {
+		return
+	}
+	delete(rs.unmatchedLimits, r.ID)
+	rs.pool.ObserveLimit(now, r.ID, r.Incarnation, l.Statement)
+}
+
 // ObserveInvalidLimit logs a limit that can't be decoded, once for each incarnation.
 func (rs *Replicas) ObserveInvalidLimit(r pool.Replica) {
 	rs.mu.Lock()
--- a/entry/replicas/place_test.go
+++ b/entry/replicas/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,8 +13,10 @@
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/route"
 	"crocusfold.dev/core/statedlimit"
+	"crocusfold.dev/core/topicview"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
+	"crocusfold.dev/entry/message"
 	"crocusfold.dev/shell/network"
 )
 
@@ -128,3 +131,30 @@
 	is.True(rs.MaySend(now.Add(grantTTL-1), p))
 	is.True(!rs.MaySend(now.Add(grantTTL), p)) // the grant has expired
 }
+
+// TestLimitBeforeList guards against a process that has just started and forgets the limits
+// which it received before the list of replicas.
+func TestLimitBeforeList(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	rs := &Replicas{Network: network.Network{}, Logger: log.NewNopLogger(), Decoder: decoder{}, Bounds: &edgeconfig.LiveBounds{}}
+	limit := message.ReplicaLimit{Replica: "a", Incarnation: 7, Limited: true, Rate: 1}
+	rs.MergeLimits(now, "peer", 0, []message.ReplicaLimit{limit})
+	rs.ApplyRecords(now, []topicview.Record{{Key: "a", Value: []byte("7")}}, now)
+	l, ok := rs.Limit("a", 7)
+	is.True(ok && l.Limited)
+	rs.MergeLimits(now, "peer", 0, []message.ReplicaLimit{{Replica: "a", Incarnation: 8, Limited: true, Rate: 2}})
+	l, _ = rs.Limit("a", 7)
+	is.Equal(l.Rate, 1.0) // the limit is of the next incarnation
+	rs.ApplyRecords(now, []topicview.Record{{Key: "a", Value: []byte("8")}}, now)
+	l, _ = rs.Limit("a", 8)
+	is.Equal(l.Rate, 2.0)
+}
+
+// decoder decodes records whose value is the incarnation of a replica.
+type decoder struct{ adapter.Decoder }
+
+func (decoder) Replica(_ time.Time, rec topicview.Record) (pool.Replica, error) {
+	n, err := strconv.ParseInt(string(rec.Value), 10, 64)
+	return pool.Replica{ID: rec.Key, Service: "s", Incarnation: n}, err
+}
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -93,6 +93,9 @@
 	// loadedAt has the latest changes of weights, which are sent to peers, and the
 	// times at which they were recorded.
 	loadedAt map[message.ReplicaVersion]time.Time
+	// unmatchedLimits has the limits received for incarnations that the list does not have
+	// yet, by replica.
+	unmatchedLimits map[string]unmatchedLimit
 	// clockOffset is the replicas' clock minus the clock of this instance.
 	clockOffset time.Duration
 	clockKnown  bool
@@ -140,6 +143,7 @@
 		}
 		old, known := rs.pool.Replica(r.ID)
 		rs.pool.Set(r)
+		rs.matchLimit(now, r)
 		if known && old.Incarnation != r.Incarnation {
 			rs.reportCrash(now, old)
 		}
@@ -197,6 +201,11 @@
 			delete(rs.loadedAt, v)
 		}
 	}
+	for id, l := range rs.unmatchedLimits {
+		if now.Sub(l.at) > unmatchedTTL {
+			delete(rs.unmatchedLimits, id)
+		}
+	}
 }
 
 // Configure applies the weight versions and the stores of an intent.
