--- a/core/topicview/topicview.go
+++ b/core/topicview/topicview.go
@@ -11,6 +11,13 @@
 	Offset uint64
 }
 
+// Position is a position in a topic: the offset of a record, or that after the last one.
+// When the log comes back from a copy, offsets are given out again under a higher era, so
+// that an offset names a record only within its era.
+type Position struct {
+	Era, Offset uint64
+}
+
 // View is the compacted view of one topic. The zero value has no records and is not
 // loaded. It is not safe for concurrent use.
 type View struct {
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -50,13 +50,13 @@
 
 // Log is the platform's log. Its topics are ordered by offset.
 type Log interface {
-	// Newest returns the newest record of each key, and the offset from which Read
+	// Newest returns the newest record of each key, and the position from which Read
 	// returns the changes since.
-	Newest(ctx context.Context, t Topic) ([]topicview.Record, uint64, error)
-	// Read returns the records from an offset on, and the offset after them. If
+	Newest(ctx context.Context, t Topic) ([]topicview.Record, topicview.Position, error)
+	// Read returns the records from an offset on, and the position after them. If
 	// there are none yet, it waits for one for up to wait. It returns
 	// ErrOffsetExpired if the log no longer retains the first of them.
-	Read(ctx context.Context, t Topic, from uint64, wait time.Duration) ([]topicview.Record, uint64, error)
+	Read(ctx context.Context, t Topic, from uint64, wait time.Duration) ([]topicview.Record, topicview.Position, error)
 	// Put appends a record to the topic Instances, where it replaces the earlier one of
 	// its key.
 	Put(ctx context.Context, key string, value []byte) error
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -27,14 +27,14 @@
 }
 
 // Newest forwards the call and counts its result.
-func (l countingLog) Newest(ctx context.Context, t adapter.Topic) ([]topicview.Record, uint64, error) {
+func (l countingLog) Newest(ctx context.Context, t adapter.Topic) ([]topicview.Record, topicview.Position, error) {
 	records, next, err := l.Log.Newest(ctx, t)
 	l.count("newest", t, err)
 	return records, next, err
 }
 
 // Read forwards the call and counts its result.
-func (l countingLog) Read(ctx context.Context, t adapter.Topic, from uint64, wait time.Duration) ([]topicview.Record, uint64, error) {
+func (l countingLog) Read(ctx context.Context, t adapter.Topic, from uint64, wait time.Duration) ([]topicview.Record, topicview.Position, error) {
 	records, next, err := l.Log.Read(ctx, t, from, wait)
 	l.count("read", t, err)
 	return records, next, err
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -110,6 +110,8 @@
 	// operationsReadFailed is true if the last read of the operators' records failed.
 	operationsReadFailed bool
 	startedAt            time.Time
+	// eras has the era of the latest response for each topic.
+	eras [topicCount]uint64
 	// instancesRequested is set by RequestInstances.
 	instancesRequested bool
 }
@@ -134,11 +136,11 @@
 	backoff := initialBackoff
 	healthy := true
 	for ctx.Err() == nil {
-		err := t.readOnce(ctx, topic)
+		read, err := t.readOnce(ctx, topic)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err == nil) != healthy {
+		if read && (err == nil) != healthy {
 			healthy = err == nil
 			t.logReachability(topic, err)
 		}
@@ -165,32 +167,49 @@
 	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
-// readOnce reads a topic once, if shouldRead says so.
-func (t *Topics) readOnce(ctx context.Context, topic adapter.Topic) error {
+// readOnce reads a topic once, if shouldRead says so, and reports whether it did.
+func (t *Topics) readOnce(ctx context.Context, topic adapter.Topic) (read bool, err error) {
 	sent := t.Now()
 	read, wait := t.shouldRead(sent, topic)
 	if !read {
-		return nil
+		return false, nil
 	}
 	t.mu.Lock()
 	loaded, next := t.views[topic].Loaded(), t.views[topic].Next()
 	t.mu.Unlock()
 	if !loaded {
-		return t.load(ctx, topic, sent)
+		return true, t.load(ctx, topic, sent)
 	}
-	records, end, err := t.Log.Read(ctx, topic, next, wait)
+	records, pos, err := t.Log.Read(ctx, topic, next, wait)
 	if errors.Is(err, adapter.ErrOffsetExpired) {
-		return t.load(ctx, topic, sent)
+		t.logEra(topic, pos.Era, "read", next, 0)
+		return true, t.load(ctx, topic, sent)
 	}
 	if err != nil {
-		return err
+		return true, err
 	}
+	end := pos.Offset
+	t.logEra(topic, pos.Era, "read", next, end)
 	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Apply(records, end) })
 	t.recordReadResult(topic, nil)
 	if end > next {
 		t.OnAdvance()
 	}
-	return nil
+	return true, nil
+}
+
+// logEra logs that the log states another era than in the latest response for a topic. The
+// response was to a read from the offset next, or to a list, and had the records up to
+// end; 0 if the read's offset has expired.
+func (t *Topics) logEra(topic adapter.Topic, era uint64, call string, next, end uint64) {
+	t.mu.Lock()
+	previous, known := t.eras[topic], t.views[topic].Loaded()
+	t.eras[topic] = era
+	t.mu.Unlock()
+	if era != previous {
+		_ = t.Logger.Log("msg", "The platform's log states another era.", "topic", topic, "era", era, "previous", previous,
+			"loaded", known, "call", call, "next", next, "end", end)
+	}
 }
 
 // ReachesLog reports whether this instance itself reaches the platform's log: its last
@@ -215,10 +234,12 @@
 
 // load reads the complete view of a topic.
 func (t *Topics) load(ctx context.Context, topic adapter.Topic, sent time.Time) error {
-	records, end, err := t.Log.Newest(ctx, topic)
+	records, pos, err := t.Log.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
+	end := pos.Offset
+	t.logEra(topic, pos.Era, "list", t.next(topic), end)
 	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Replace(records, end) })
 	t.recordReadResult(topic, nil)
 	t.OnAdvance()
