--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -11,7 +11,8 @@
 
 // Grant is the response to a renewal.
 type Grant struct {
-	Generation uint64
+	// Era rises when the log comes back from a copy. The generation may go back then.
+	Era, Generation uint64
 	// Held is true if this instance is the leader.
 	Held bool
 }
@@ -22,6 +23,7 @@
 	// QuietPeriod is how long a new holder waits before it acts, so that all actions
 	// of the previous holder have taken effect by then.
 	QuietPeriod time.Duration
+	era         uint64
 	generation  uint64
 	held        bool
 	heldSince   time.Time
@@ -29,28 +31,34 @@
 }
 
 // Renew applies a grant that was requested at the moment sent and lasts for ttl from
-// then. It ignores a grant whose generation is lower than the newest one seen.
+// then. It ignores a grant of an earlier era, or whose generation is lower than the newest
+// one seen in its era.
 func (l *Lease) Renew(sent time.Time, ttl time.Duration, g Grant) {
-	if g.Generation < l.generation {
+	if g.Era < l.era || g.Era == l.era && g.Generation < l.generation {
 		return
 	}
 	if g.Held && (!l.held || !sent.Before(l.expires)) {
 		l.heldSince = sent
 	}
-	l.generation, l.held = g.Generation, g.Held
+	l.era, l.generation, l.held = g.Era, g.Generation, g.Held
 	l.expires = sent.Add(ttl - safetyMargin)
 }
 
-// Generation returns the newest generation seen, or 0 before the first grant.
+// Generation returns the newest generation seen in the latest era, or 0 before the first
+// grant.
 func (l *Lease) Generation() uint64 { return l.generation }
 
-// Token returns the fencing token; ok is false if the holder may not act now, because the
-// lease is not held or its quiet period has not passed.
+// generationBits is the number of bits of a fencing token that have the generation.
+const generationBits = 32
+
+// Token returns the fencing token, which is higher than those of all earlier generations and
+// eras; ok is false if the holder may not act now, because the lease is not held or its quiet
+// period has not passed. In the first era the token is the generation.
 func (l *Lease) Token(now time.Time) (uint64, bool) {
 	if !l.held || !now.Before(l.expires) || now.Sub(l.heldSince) < l.QuietPeriod {
 		return 0, false
 	}
-	return l.generation, true
+	return (max(l.era, 1)-1)<<generationBits | l.generation, true
 }
 
 // Release ends the hold on the lease at once. It does not leave the group.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,8 +33,14 @@
 			case "quiet-period":
 				l.QuietPeriod, _ = time.ParseDuration(args[1])
 			case "renew":
-				generation, _ := strconv.ParseUint(args[2], 10, 64)
-				l.Renew(at(args[1]), 1500*time.Millisecond, Grant{Generation: generation, Held: args[3] == "held"})
+				// renew TIME [ERA/]GENERATION held|none
+				era, generation, ok := strings.Cut(args[2], "/")
+				if !ok {
+					era, generation = "0", args[2]
+				}
+				e, _ := strconv.ParseUint(era, 10, 64)
+				n, _ := strconv.ParseUint(generation, 10, 64)
+				l.Renew(at(args[1]), 1500*time.Millisecond, Grant{Era: e, Generation: n, Held: args[3] == "held"})
 			case "release":
 				l.Release()
 			case "token":
--- a/core/topicview/topicview_test.go
+++ b/core/topicview/topicview_test.go
@@ -12,26 +12,40 @@
 )
 
 // TestScripts runs the scripts in testdata. A record is written key=value@offset, or
-// key=@offset if it deletes its key; times are in seconds.
+// key=@offset if it deletes its key, and a position OFFSET or ERA/OFFSET; times are in
+// seconds.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
-		v := &View{}
+		// The values of the key "version" are numbers that never go back.
+		v := &View{Newer: func(held, rec Record) (newer, known bool) {
+			return len(rec.Value) > 0 && number(string(rec.Value)) >= number(string(held.Value)), rec.Key == "version"
+		}}
 		return func(args []string) []string {
 			switch args[0] {
 			case "append":
-				return format(v.Apply(records(args[2:]), number(args[1])))
+				return format(v.Apply(records(args[2:]), position(args[1])))
 			case "replace":
-				return format(v.Replace(records(args[2:]), number(args[1])))
+				return format(v.Replace(records(args[2:]), position(args[1])))
 			case "since":
-				changed, ok := v.ChangedSince(number(args[1]))
+				changed, ok := v.ChangedSince(position(args[1]))
 				return append(format(changed), fmt.Sprint(ok))
 			case "prove":
-				v.RecordProof(time.Unix(int64(number(args[1])), 0), number(args[2]))
+				v.RecordProof(time.Unix(int64(number(args[1])), 0), position(args[2]))
+			case "held":
+				return format(v.Held())
+			case "merge-held":
+				return format(v.MergeHeld(records(args[2:]), position(args[1])))
+			case "release":
+				return format(v.Release(args[1] == "lacking"))
 			case "current":
 				limit, _ := time.ParseDuration(args[2])
 				return []string{fmt.Sprint(v.Current(time.Unix(int64(number(args[1])), 0), limit))}
 			case "show":
-				return append(format(v.Records()), fmt.Sprintf("next %d", v.Next()))
+				next := strconv.FormatUint(v.Next().Offset, 10)
+				if v.Next().Era > 0 {
+					next = fmt.Sprintf("%d/%s", v.Next().Era, next)
+				}
+				return append(format(v.Records()), "next "+next)
 			}
 			return nil
 		}
@@ -43,6 +57,15 @@
 	return n
 }
 
+// position parses ERA/OFFSET, or OFFSET in era 0.
+func position(s string) Position {
+	era, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{Offset: number(s)}
+	}
+	return Position{number(era), number(offset)}
+}
+
 func records(args []string) []Record {
 	var out []Record
 	for _, arg := range args {
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -53,10 +53,11 @@
 	// Newest returns the newest record of each key, and the position from which Read
 	// returns the changes since.
 	Newest(ctx context.Context, t Topic) ([]topicview.Record, topicview.Position, error)
-	// Read returns the records from an offset on, and the position after them. If
+	// Read returns the records from a position on, and the position after them. If
 	// there are none yet, it waits for one for up to wait. It returns
-	// ErrOffsetExpired if the log no longer retains the first of them.
-	Read(ctx context.Context, t Topic, from uint64, wait time.Duration) ([]topicview.Record, topicview.Position, error)
+	// ErrOffsetExpired if the log no longer retains the first of them or is in
+	// another era; the position has the log's era then.
+	Read(ctx context.Context, t Topic, from topicview.Position, wait time.Duration) ([]topicview.Record, topicview.Position, error)
 	// Put appends a record to the topic Instances, where it replaces the earlier one of
 	// its key.
 	Put(ctx context.Context, key string, value []byte) error
@@ -78,6 +79,10 @@
 
 // Decoder decodes the records of the topics.
 type Decoder interface {
+	// Newer reports whether a record is newer than a held one of the same key, by what the
+	// two state. known is false if that does not tell. A record without a value is a
+	// deletion.
+	Newer(t Topic, held, rec topicview.Record) (newer, known bool)
 	// Intent decodes all records of the topic Operations. It returns an error if
 	// they have no usable configuration.
 	Intent(records []topicview.Record) (Intent, error)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -100,8 +100,10 @@
 	endpoint     *peerrpc.Endpoint
 	retryBudgets *retry.Budgets
 	limits       *replicalimits.ReplicaLimits
-	leaving      atomic.Bool
-	openConns    atomic.Int64
+	// announceAgain is signalled when the instance's record may be lost.
+	announceAgain chan struct{}
+	leaving       atomic.Bool
+	openConns     atomic.Int64
 
 	metricsPage  http.Handler
 	closeMetrics io.Closer
@@ -113,7 +115,7 @@
 func NewEdge(cfg edgeconfig.Settings, platform Platform, nw network.Network, now func() time.Time, logger log.Logger) *Edge {
 	part := func(name string) log.Logger { return log.With(logger, "part", name) }
 	self := roster.Member{Name: cfg.Name, Address: cfg.Peers, DataCentre: cfg.DataCentre}
-	e := &Edge{cfg: cfg, platform: platform, network: nw, now: now, logger: part("edge")}
+	e := &Edge{cfg: cfg, platform: platform, network: nw, now: now, logger: part("edge"), announceAgain: make(chan struct{}, 1)}
 	e.bounds.Set(cfg.Bounds)
 	scope := e.newMetrics()
 	platform.Log = countingLog{platform.Log, scope}
@@ -148,6 +150,7 @@
 	}
 	e.topics.OnInstances, e.topics.IsReader = e.applyInstanceRecords, e.gossip.ReadsTopics
 	e.topics.Isolated, e.topics.OnAdvance, e.crashes.RequestRecords = e.gossip.Isolated, e.gossip.NotifyPeers, e.topics.RequestInstances
+	e.topics.OnRestore = e.writeAgain
 	e.crashes.NotifyPeers, e.replicas.OnCrash = e.gossip.NotifyPeers, e.crashes.RecordReplicaCrash
 	e.replicas.CleansStores, e.replicas.FollowsStores = e.leader.IsLeader, e.gossip.FollowsStores
 	e.leader.NotifyPeers, e.leader.Rank, e.leader.PeersOldestFetched = e.gossip.NotifyPeers, e.gossip.Rank, e.gossip.PeersOldestFetched
@@ -294,14 +297,36 @@
 	}
 }
 
-// announce writes this instance's record to the topic of instances, and retries until
-// the write succeeds or ctx ends.
+// writeAgain requests that the records of this instance are written again, since the log
+// may have lost them.
+func (e *Edge) writeAgain() {
+	select {
+	case e.announceAgain <- struct{}{}:
+	default:
+	}
+	e.crashes.WriteAgain()
+}
+
+// announce writes this instance's record to the topic of instances, now and whenever it may
+// be lost, until ctx ends.
 func (e *Edge) announce(ctx context.Context) {
 	raw, err := e.gossip.OwnRecord()
 	if err != nil {
 		_ = e.logger.Log("msg", "The instance's record can't be encoded.", "err", err)
 		return
 	}
+	for ctx.Err() == nil {
+		e.putOwnRecord(ctx, raw)
+		select {
+		case <-ctx.Done():
+		case <-e.announceAgain:
+		}
+	}
+}
+
+// putOwnRecord writes this instance's record, and retries until the write succeeds or ctx
+// ends.
+func (e *Edge) putOwnRecord(ctx context.Context, raw []byte) {
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		err := e.platform.Log.Put(ctx, e.cfg.Name, raw)
 		if err == nil {
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -38,7 +38,7 @@
 	g.receive(now, resp)
 	g.applyStoreChanges(now, resp)
 	advanced := false
-	for _, gap := range g.Topics.MergeViewStates(now, sent, resp.ViewStates) {
+	for _, gap := range g.Topics.MergeViewStates(now, sent, resp.ViewStates, resp.ViewEras) {
 		advanced = g.fetchRecords(ctx, to, gap) || advanced
 	}
 	if advanced {
@@ -63,12 +63,12 @@
 		g.mu.Unlock()
 	}()
 	sent := g.Now()
-	resp, err := peerrpc.Call[message.ViewResponse](ctx, g.Endpoint, from, message.ViewRequest{Topic: int(gap.Topic), From: gap.From})
+	resp, err := peerrpc.Call[message.ViewResponse](ctx, g.Endpoint, from, message.ViewRequest{Topic: int(gap.Topic), From: gap.From.Offset, Era: gap.From.Era})
 	if err != nil {
 		_ = g.Logger.Log("msg", "Requesting records from a peer failed.", "peer", from.Name, "topic", gap.Topic, "err", err)
 		return false
 	}
-	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", gap.Topic, "next", resp.Next, "records", len(resp.Records), "age", resp.ProofAge)
+	_ = g.Logger.Log("msg", "Took a view from a peer.", "peer", from.Name, "topic", gap.Topic, "next", resp.Next, "era", resp.Era, "records", len(resp.Records), "held", len(resp.Held), "age", resp.ProofAge)
 	return g.Topics.MergeView(sent, gap, resp)
 }
 
@@ -171,8 +171,9 @@
 	header.ReachesLog = g.Topics.ReachesLog()
 	isLeader := g.Leader.IsLeader(now)
 	m := message.Gossip{
-		Header: header, ViewStates: g.Topics.ViewStates(now), IsLeader: isLeader, LeaderStatus: g.outgoingLeaderStatus(now, header, isLeader),
+		Header: header, IsLeader: isLeader, LeaderStatus: g.outgoingLeaderStatus(now, header, isLeader),
 	}
+	m.ViewStates, m.ViewEras = g.Topics.ViewStates(now)
 	g.Crashes.FillGossip(now, &m, since)
 	g.mu.Lock()
 	names, oldestFetched := map[string]bool{}, [][]message.ModelVersion{}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -122,12 +122,12 @@
 		switch m := msg.(type) {
 		case message.Gossip:
 			g.receive(now, m)
-			if g.Topics.PeerAhead(m.ViewStates) {
+			if g.Topics.PeerAhead(m.ViewStates, m.ViewEras) {
 				g.callSoon(now, m.Address)
 			}
 			return g.response(now, m), true, nil
 		case message.ViewRequest:
-			resp, _ := g.Topics.ViewSince(now, adapter.Topic(m.Topic), m.From)
+			resp, _ := g.Topics.ViewSince(now, adapter.Topic(m.Topic), topicview.Position{Era: m.Era, Offset: m.From})
 			return resp, true, nil
 		default:
 			return nil, false, nil
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -45,6 +45,8 @@
 	// PartCrashes has the crashes of replicas for each part of a prompt that was running
 	// on them.
 	PartCrashes []PartCrashes `cbor:"43,keyasint,omitempty"`
+	// ViewEras has the eras of ViewStates, in the same order.
+	ViewEras []ViewEra `cbor:"44,keyasint,omitempty"`
 }
 
 // ReplicaLimit is the newest statement of a replica about its limit, in requests per second.
@@ -116,6 +118,17 @@
 	RecoveryAge time.Duration
 }
 
+// ViewEra is the era of a view, and the time since the log came back from a copy as that
+// era; a negative age means long ago or never.
+type ViewEra struct {
+	_   struct{} `cbor:",toarray"`
+	Era uint64
+	Age time.Duration
+	// HeldDigest is the digest of the records of earlier eras that the log has lost; 0 if
+	// there are none.
+	HeldDigest uint64
+}
+
 // LoadTable is the work in flight at replicas. It is stored in columns, which are
 // decoded in a fraction of the time that a list of rows takes.
 type LoadTable struct {
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -217,6 +217,8 @@
 type ViewRequest struct {
 	Topic int    `json:"topic"`
 	From  uint64 `json:"from,omitempty"`
+	// Era is the era of the offset.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // ViewResponse holds records of a topic, up to the offset Next, and the age of the
@@ -228,6 +230,10 @@
 	Records     []topicview.Record `json:"records"`
 	Next        uint64             `json:"next"`
 	ProofAge    time.Duration      `json:"proof-age"`
+	// Era is the era of Next, and Held has the records of earlier eras that the log has
+	// lost, unless Incremental is true.
+	Era  uint64             `json:"era,omitempty"`
+	Held []topicview.Record `json:"held,omitempty"`
 }
 
 // GrantRequest requests the grant of one request to a replica that states a limit, from
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -349,6 +349,14 @@
 	cr.mu.Unlock()
 }
 
+// WriteAgain requests that the crash record is written again, since the platform's log may
+// have lost it. It does nothing if there are no crashes.
+func (cr *Crashes) WriteAgain() {
+	if !cr.empty() {
+		cr.requestWrite()
+	}
+}
+
 // requestWrite requests a write of the crash record by Run. It does not block.
 func (cr *Crashes) requestWrite() {
 	select {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -172,6 +172,9 @@
 	table := c.intent.Table
 	var ok bool
 	if c.route, ok = table.Match(c.r.Host, c.r.URL.Path); !ok {
+		if !rl.Topics.Complete() {
+			return notRun("configuration-not-proven", time.Second)
+		}
 		return &refusal{status: http.StatusNotFound, code: "route-unknown"}
 	}
 	if ref := c.identify(table); ref != nil {
--- a/entry/topics/schedule.go
+++ b/entry/topics/schedule.go
@@ -12,7 +12,7 @@
 // the list of instances only if it is isolated, or once if RequestInstances was called.
 func (t *Topics) shouldRead(now time.Time, topic adapter.Topic) (read bool, wait time.Duration) {
 	if t.IsReader(now) {
-		return true, readWaits[topic]
+		return true, t.readerWait(now, topic)
 	}
 	isolated := t.Isolated()
 	t.mu.Lock()
@@ -30,6 +30,19 @@
 	return !view.Current(now, t.maxReplicasAge()), 0
 }
 
+// readerWait returns how long a reader's read of a topic waits for new records. After a
+// restore of the log, the first read of the operators' records that proves them complete
+// is sent without delay.
+func (t *Topics) readerWait(now time.Time, topic adapter.Topic) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := readWaits[topic]
+	if topic == adapter.Operations && !t.restore.covers(t.views[topic].Proof()) {
+		wait = min(wait, t.restore.settlesIn(now))
+	}
+	return wait
+}
+
 // RequestInstances makes this instance read the list of instances once, even if it is
 // not a reader.
 func (t *Topics) RequestInstances() {
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,9 @@
 	rewriteTime = 2200 * time.Millisecond
 )
 
+// errOutdated means that a list of all records ends before the records that are known.
+var errOutdated = errors.New("the list of records is outdated")
+
 const topicCount = 3
 
 // readWaits has how long a reader's read of each topic waits for new records.
@@ -98,6 +102,9 @@
 	OnAdvance func()
 	// OnIntent is called when an intent takes effect.
 	OnIntent func(in *adapter.Intent)
+	// OnRestore is called when the log has come back from a copy, so that what this instance
+	// wrote may be lost.
+	OnRestore func()
 
 	mu     sync.Mutex
 	views  [topicCount]topicview.View
@@ -110,8 +117,9 @@
 	// operationsReadFailed is true if the last read of the operators' records failed.
 	operationsReadFailed bool
 	startedAt            time.Time
-	// eras has the era of the latest response for each topic.
-	eras [topicCount]uint64
+	restore              restore
+	// requestedHeld has the digest of the held records that were last requested from a peer.
+	requestedHeld [topicCount]uint64
 	// instancesRequested is set by RequestInstances.
 	instancesRequested bool
 }
@@ -123,6 +131,10 @@
 func (t *Topics) Run(ctx context.Context) {
 	t.mu.Lock()
 	t.startedAt = t.Now()
+	for i := range t.views {
+		topic := adapter.Topic(i)
+		t.views[i].Newer = func(held, rec topicview.Record) (newer, known bool) { return t.Decoder.Newer(topic, held, rec) }
+	}
 	t.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, topic := range []adapter.Topic{adapter.Operations, adapter.Replicas, adapter.Instances} {
@@ -136,6 +148,7 @@
 	backoff := initialBackoff
 	healthy := true
 	for ctx.Err() == nil {
+		t.releaseHeld(topic)
 		read, err := t.readOnce(ctx, topic)
 		if ctx.Err() != nil {
 			return
@@ -145,7 +158,9 @@
 			t.logReachability(topic, err)
 		}
 		if err != nil {
-			t.recordReadResult(topic, err)
+			if !errors.Is(err, errOutdated) {
+				t.recordReadResult(topic, err)
+			}
 			clock.Pause(ctx, backoff)
 			limit := maxReaderBackoff
 			if !t.IsReader(t.Now()) {
@@ -180,38 +195,22 @@
 	if !loaded {
 		return true, t.load(ctx, topic, sent)
 	}
-	records, pos, err := t.Log.Read(ctx, topic, next, wait)
+	records, end, err := t.Log.Read(ctx, topic, next, wait)
 	if errors.Is(err, adapter.ErrOffsetExpired) {
-		t.logEra(topic, pos.Era, "read", next, 0)
+		_ = t.Logger.Log("msg", "The records to read have expired or are of another era.", "topic", topic, "era", end.Era, "next-era", next.Era, "next", next.Offset)
 		return true, t.load(ctx, topic, sent)
 	}
 	if err != nil {
 		return true, err
 	}
-	end := pos.Offset
-	t.logEra(topic, pos.Era, "read", next, end)
 	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Apply(records, end) })
 	t.recordReadResult(topic, nil)
-	if end > next {
+	if next.Before(end) {
 		t.OnAdvance()
 	}
 	return true, nil
 }
 
-// logEra logs that the log states another era than in the latest response for a topic. The
-// response was to a read from the offset next, or to a list, and had the records up to
-// end; 0 if the read's offset has expired.
-func (t *Topics) logEra(topic adapter.Topic, era uint64, call string, next, end uint64) {
-	t.mu.Lock()
-	previous, known := t.eras[topic], t.views[topic].Loaded()
-	t.eras[topic] = era
-	t.mu.Unlock()
-	if era != previous {
-		_ = t.Logger.Log("msg", "The platform's log states another era.", "topic", topic, "era", era, "previous", previous,
-			"loaded", known, "call", call, "next", next, "end", end)
-	}
-}
-
 // ReachesLog reports whether this instance itself reaches the platform's log: its last
 // read of the operators' records did not fail.
 func (t *Topics) ReachesLog() bool {
@@ -232,14 +231,15 @@
 	}
 }
 
-// load reads the complete view of a topic.
+// load reads the complete view of a topic. It returns errOutdated if the view is newer.
 func (t *Topics) load(ctx context.Context, topic adapter.Topic, sent time.Time) error {
-	records, pos, err := t.Log.Newest(ctx, topic)
+	records, end, err := t.Log.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
-	end := pos.Offset
-	t.logEra(topic, pos.Era, "list", t.next(topic), end)
+	if next := t.next(topic); end.Before(next) {
+		return fmt.Errorf("listing up to offset %d of era %d, after %d of era %d: %w", end.Offset, end.Era, next.Offset, next.Era, errOutdated)
+	}
 	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Replace(records, end) })
 	t.recordReadResult(topic, nil)
 	t.OnAdvance()
@@ -247,25 +247,32 @@
 }
 
 // applyChange changes a view by calling change, after which it is complete up to the
-// offset end as of the time proven, and passes the records that changed to the callback
+// position end as of the time proven, and passes the records that changed to the callback
 // of the topic.
-func (t *Topics) applyChange(topic adapter.Topic, proven time.Time, end uint64, change func(*topicview.View) []topicview.Record) {
+func (t *Topics) applyChange(topic adapter.Topic, proven time.Time, end topicview.Position, change func(*topicview.View) []topicview.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.Now()
+	t.observeEra(now, end.Era, 0)
 	view := &t.views[topic]
 	before := view.Proof()
 	changed := change(view)
 	view.RecordProof(proven, end)
-	now := t.Now()
 	if topic == adapter.Replicas {
 		if t.replicasReadFailed && !before.IsZero() && proven.Sub(before) > minOutage {
 			t.recoveredAt = now
 		}
 		t.replicasReadFailed = false
 	}
+	t.report(now, topic, changed)
+}
+
+// report passes the records that changed a view to the callback of its topic.
+func (t *Topics) report(now time.Time, topic adapter.Topic, changed []topicview.Record) {
 	if len(changed) == 0 {
 		return
 	}
+	view := &t.views[topic]
 	switch topic {
 	case adapter.Operations:
 		t.updateIntent(view)
@@ -291,7 +298,7 @@
 func (t *Topics) updateIntent(view *topicview.View) {
 	in, err := t.Decoder.Intent(view.Records())
 	if err != nil {
-		_ = t.Logger.Log("msg", "Decoding the operators' records failed; the previous intent stays in force.", "next", view.Next(), "err", err)
+		_ = t.Logger.Log("msg", "Decoding the operators' records failed; the previous intent stays in force.", "era", view.Next().Era, "next", view.Next().Offset, "err", err)
 		return
 	}
 	if old := t.intent.Load(); old != nil && in.Table.Version < old.Table.Version {
@@ -299,15 +306,25 @@
 		in.Table = old.Table
 	}
 	t.intent.Store(&in)
-	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "next", view.Next(), "closed", len(in.ClosedDataCentres))
+	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "era", view.Next().Era, "next", view.Next().Offset, "closed", len(in.ClosedDataCentres))
 	t.OnIntent(&in)
 }
 
 // ProofAge returns the age of the proof that the view of the operators' records is
-// complete; ok is false if there is none.
+// complete; ok is false if there is none. After a restore of the log, it is that of the
+// last proof before until the operators have had the time to write again.
 func (t *Topics) ProofAge(now time.Time) (age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	proof := t.views[adapter.Operations].Proof()
+	proof := t.restore.operationsProof(t.views[adapter.Operations].Proof())
 	return now.Sub(proof), !proof.IsZero()
 }
+
+// Complete reports whether the view of the operators' records was complete at some time
+// after the latest restore of the log. Before that, records that were confirmed may be
+// missing.
+func (t *Topics) Complete() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.restore.covers(t.views[adapter.Operations].Proof())
+}
