--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -16,8 +16,11 @@
 // Replica is a replica's entry in the list of replicas.
 type Replica struct {
 	ID, Service string
-	Address     netip.AddrPort
-	DataCentre  string
+	// Software is the version of the replica's software; empty if it states none. It has no
+	// order.
+	Software   string
+	Address    netip.AddrPort
+	DataCentre string
 	// Slots is the number of requests that the replica runs at once.
 	Slots    int
 	Draining bool
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -113,6 +113,9 @@
 	Parts []PromptPart
 	// ResumeAfter is the id of the last event that the caller has received.
 	ResumeAfter string
+	// Resumes is the id of the caller's request whose response had the first event of a
+	// stream that the caller resumes; empty if not stated.
+	Resumes string
 }
 
 // SharedParts returns the parts of the prompt that other requests may have too: all but
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -193,6 +193,7 @@
 		reason := ref.Reason
 		if pl != nil {
 			c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
+			c.summary.software = pl.Software
 			c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
 			if pl.Cold {
 				c.relay.Metrics.coldGrants.Inc(1)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -108,6 +108,8 @@
 // summary has what the log line and the metrics of a request are made of.
 type summary struct {
 	replica, context, outcome string
+	// software is the version of the replica's software.
+	software string
 	version, attempts, status int
 	// parts is the number of shared parts of the prompt, fetched and saved the
 	// numbers of those that are fetched from and saved to a store.
@@ -332,7 +334,7 @@
 		version = c.intent.Table.Version
 	}
 	_ = c.relay.Logger.Log("id", c.info.ID, "route", routeName, "account", c.account.Name, "config", version,
-		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "weights", c.summary.version, "context", c.summary.context,
+		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "weights", c.summary.version, "context", c.summary.context,
 		"running", c.summary.estimate.Running, "fill", strconv.FormatFloat(c.summary.estimate.MemoryFill, 'f', 2, 64),
 		"unread", c.summary.estimate.PendingPrefill, "expected", c.summary.estimate.Delay.Round(time.Millisecond), "reading", c.summary.prefillTokens,
 		"tries", c.summary.attempts, "gave-up", c.summary.giveUpReason, "outcome", c.summary.outcome, "status", c.summary.status,
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -148,7 +148,7 @@
 			rs.reportCrash(now, old)
 		}
 		if !known || old.Draining != r.Draining || old.Incarnation != r.Incarnation {
-			_ = rs.Logger.Log("msg", "A replica changed.", "replica", r.ID, "service", r.Service, "address", r.Address, "draining", r.Draining, "cold-for", coldFor(now, r), "offset", rec.Offset)
+			_ = rs.Logger.Log("msg", "A replica changed.", "replica", r.ID, "service", r.Service, "software", r.Software, "address", r.Address, "draining", r.Draining, "cold-for", coldFor(now, r), "offset", rec.Offset)
 		}
 	}
 }
