--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -36,6 +36,8 @@
 	// SampleSeed selects the replicas that are compared, and differs between
 	// requests; 0 compares all.
 	SampleSeed uint64
+	// Software is the software version that the replica must have; empty if any will do.
+	Software string
 	// ClosedDataCentres holds the data centres that get no work, and Tried the
 	// replicas that the request was already sent to.
 	ClosedDataCentres, Tried map[string]bool
@@ -175,6 +177,9 @@
 		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || req.Tried[r.ID] {
 			continue
 		}
+		if req.Software != "" && r.Software != req.Software {
+			continue
+		}
 		version := 0
 		if req.Model != "" {
 			if version = r.Versions[req.Model]; version == 0 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -61,6 +61,16 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Uses reports whether requests of the route may go to a service.
+func (r *Route) Uses(service string) bool {
+	for _, s := range r.Services {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick returns the service for a request by its hash, in proportion to the weights, or
 // an empty string if the route has no services.
 func (r *Route) Pick(hash uint64) string {
@@ -152,6 +162,10 @@
 	// HasAccounts is true if the configuration lists accounts. If not, requests need
 	// no API key.
 	HasAccounts bool
+	// ResumableServices has the services of routes with resumable streams, and
+	// ResumableTimeout the longest timeout of these routes; 0 if one has none.
+	ResumableServices map[string]bool
+	ResumableTimeout  time.Duration
 	// byHost maps each host in lower case and each prefix to a route.
 	byHost   map[string]map[string]*Route
 	accounts map[string]Account
@@ -162,7 +176,7 @@
 func NewTable(version uint64, limits Limits, routes []Route, services []Service, accounts map[string]Account, hasAccounts bool) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Services: map[string]Service{},
-		HasAccounts: hasAccounts, byHost: map[string]map[string]*Route{}, accounts: accounts,
+		HasAccounts: hasAccounts, ResumableServices: map[string]bool{}, byHost: map[string]map[string]*Route{}, accounts: accounts,
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -177,9 +191,27 @@
 			t.byHost[host][routes[i].Prefix] = &routes[i]
 		}
 	}
+	t.indexResumable(routes)
 	return t
 }
 
+func (t *Table) indexResumable(routes []Route) {
+	unbounded := false
+	for _, r := range routes {
+		if r.Kind != Streaming || !r.Resumable {
+			continue
+		}
+		for _, s := range r.Services {
+			t.ResumableServices[s.Service] = true
+		}
+		unbounded = unbounded || r.Timeout == 0
+		t.ResumableTimeout = max(t.ResumableTimeout, r.Timeout)
+	}
+	if unbounded {
+		t.ResumableTimeout = 0
+	}
+}
+
 // Match returns the route of the host with the longest prefix of the path. A port in
 // host is ignored. Prefixes end with a slash, so only the path and its prefixes up to
 // each slash are looked up, and the time does not grow with the number of routes.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -37,6 +37,7 @@
 	"crocusfold.dev/entry/relay"
 	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
+	"crocusfold.dev/entry/streams"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/shell/clock"
 	"crocusfold.dev/shell/network"
@@ -99,6 +100,7 @@
 	crashes      *relay.Crashes
 	endpoint     *peerrpc.Endpoint
 	retryBudgets *retry.Budgets
+	streams      *streams.Streams
 	limits       *replicalimits.ReplicaLimits
 	// announceAgain is signalled when the instance's record may be lost.
 	announceAgain chan struct{}
@@ -150,6 +152,11 @@
 	}
 	e.topics.OnInstances, e.topics.IsReader = e.applyInstanceRecords, e.gossip.ReadsTopics
 	e.topics.Isolated, e.topics.OnAdvance, e.crashes.RequestRecords = e.gossip.Isolated, e.gossip.NotifyPeers, e.topics.RequestInstances
+	e.streams = &streams.Streams{
+		Self: self, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas, Decoder: platform.Decoder, Bounds: &e.bounds,
+		Now: now, Logger: part("streams"),
+	}
+	e.gossip.Streams, e.replicas.OnChange, e.topics.OnListLoaded = e.streams, e.streams.ReplicaChanged, e.streams.ListLoaded
 	e.topics.OnRestore = e.writeAgain
 	e.crashes.NotifyPeers, e.replicas.OnCrash = e.gossip.NotifyPeers, e.crashes.RecordReplicaCrash
 	e.replicas.CleansStores, e.replicas.FollowsStores = e.leader.IsLeader, e.gossip.FollowsStores
@@ -167,12 +174,13 @@
 	e.gossip.OnLimitGroup = func(g limitgroup.Group, granting grantors.Grantors) {
 		e.replicas.SetLimitGroup(g)
 		e.limits.SetGrantors(now(), granting)
+		e.streams.SetOwners(granting)
 		e.retryBudgets.SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
-		Limits: e.limits, NotifyPeers: e.gossip.NotifyPeers,
+		Limits: e.limits, Streams: e.streams, NotifyPeers: e.gossip.NotifyPeers,
 	}
 	return e
 }
@@ -241,6 +249,7 @@
 	defer stop()
 	e.gossip.Attach()
 	e.limits.Attach()
+	e.streams.Attach()
 	callerServer := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: e.countConns, ErrorLog: stdlog.New(io.Discard, "", 0),
@@ -273,6 +282,7 @@
 	wg.Go(func() { e.replicas.FollowStores(workCtx, e.platform.Control) })
 	wg.Go(func() { e.announce(workCtx) })
 	wg.Go(func() { e.crashes.Run(workCtx) })
+	wg.Go(func() { e.streams.Run(workCtx) })
 	_ = e.logger.Log("msg", "The instance serves.", "front", e.cfg.Front, "data-centre", e.cfg.DataCentre)
 	select {
 	case err := <-errs:
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -103,6 +103,7 @@
 	if g.Crashes.MergeGossip(now, m) || urgent {
 		g.NotifyPeers()
 	}
+	g.Streams.MergeGossip(now, m)
 	if !counted {
 		m.Loads = message.LoadTable{}
 	}
@@ -175,6 +176,7 @@
 	}
 	m.ViewStates, m.ViewEras = g.Topics.ViewStates(now)
 	g.Crashes.FillGossip(now, &m, since)
+	g.Streams.FillGossip(now, &m)
 	g.mu.Lock()
 	names, oldestFetched := map[string]bool{}, [][]message.ModelVersion{}
 	for _, aggregated := range g.peering.AggregatedFor(to, header.Relation) {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -55,6 +55,8 @@
 	OnLimitGroup func(group limitgroup.Group, g grantors.Grantors)
 	// Crashes merges and provides the crashes of replicas.
 	Crashes Crashes
+	// Streams merges and provides the software versions that served.
+	Streams Streams
 
 	mu      sync.Mutex
 	peering peering.Peering
@@ -100,6 +102,14 @@
 	FillGossip(now time.Time, m *message.Gossip, since time.Time)
 }
 
+// Streams is the state of the software versions that served lately.
+type Streams interface {
+	// MergeGossip merges the versions in a message.
+	MergeGossip(now time.Time, m message.Gossip)
+	// FillGossip adds the versions to a message.
+	FillGossip(now time.Time, m *message.Gossip)
+}
+
 // peer is what a peer last reported, apart from the state in peering.
 type peer struct {
 	// oldestFetched is the OldestFetched of its last message.
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -47,6 +47,19 @@
 	PartCrashes []PartCrashes `cbor:"43,keyasint,omitempty"`
 	// ViewEras has the eras of ViewStates, in the same order.
 	ViewEras []ViewEra `cbor:"44,keyasint,omitempty"`
+	// SoftwareVersions has the software versions of services with resumable streams that
+	// served within the time VersionsCovered, for which the sender knows all of them; 0 if
+	// it knows them for no time.
+	SoftwareVersions []ServedVersion `cbor:"45,keyasint,omitempty"`
+	VersionsCovered  time.Duration   `cbor:"46,keyasint,omitempty"`
+}
+
+// ServedVersion is a software version of a service, and the time since it was last seen to
+// serve.
+type ServedVersion struct {
+	_                struct{} `cbor:",toarray"`
+	Service, Version string
+	Age              time.Duration
 }
 
 // ReplicaLimit is the newest statement of a replica about its limit, in requests per second.
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -259,6 +259,35 @@
 	Wait    time.Duration
 }
 
+// StreamOrigins has the software versions that began streams, for an instance that keeps
+// them; the response is Ack.
+type StreamOrigins struct {
+	Origins []StreamOrigin `json:"origins"`
+}
+
+// StreamOrigin is the service and the software version that began a stream. Request is the
+// digest of the id of the request that began it.
+type StreamOrigin struct {
+	_                struct{} `cbor:",toarray"`
+	Request          uint64
+	Service, Version string
+}
+
+// StreamQuery requests the origin of a stream; the response is StreamOriginResponse.
+type StreamQuery struct {
+	Request uint64 `json:"request"`
+}
+
+// StreamOriginResponse is the response to StreamQuery.
+type StreamOriginResponse struct {
+	Known   bool   `json:"known"`
+	Service string `json:"service,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
+func (StreamOrigins) message()        {}
+func (StreamQuery) message()          {}
+func (StreamOriginResponse) message() {}
 func (Gossip) message()               {}
 func (ViewRequest) message()          {}
 func (ViewResponse) message()         {}
@@ -325,4 +354,7 @@
 	codec.Case(29, func(m Bans) Message { return m }),
 	codec.Case(30, func(m GrantRequest) Message { return m }),
 	codec.Case(31, func(m GrantResponse) Message { return m }),
+	codec.Case(32, func(m StreamOrigins) Message { return m }),
+	codec.Case(33, func(m StreamQuery) Message { return m }),
+	codec.Case(34, func(m StreamOriginResponse) Message { return m }),
 )
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -241,7 +241,7 @@
 func (c *call) placementRequest() replicas.PlacementRequest {
 	req := replicas.PlacementRequest{Request: pool.Request{
 		Service: c.service.Name, ColdRate: c.service.ColdRate, ClosedDataCentres: c.intent.ClosedDataCentres, Tried: c.attemptedReplicas,
-		SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
+		Software: c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/entry/streams"
 )
 
 // Metrics counts requests, attempts and replica crashes. The number of series is
@@ -105,6 +106,11 @@
 	m.counter(labels{metric: "tries_failed", service: service, outcome: failure}).Inc(1)
 }
 
+// countResumed counts a resumed stream by how its origin was found out.
+func (m *Metrics) countResumed(source streams.Source) {
+	m.scope.Tagged(map[string]string{"origin": string(source)}).Counter("streams_resumed").Inc(1)
+}
+
 // countDeniedRetry counts a request of a service that was not retried because the
 // retry budget was used up.
 func (m *Metrics) countDeniedRetry(service string) {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -24,6 +24,7 @@
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
+	"crocusfold.dev/entry/streams"
 	"crocusfold.dev/entry/topics"
 )
 
@@ -50,6 +51,7 @@
 	Replicas *replicas.Replicas
 	Budgets  *retry.Budgets
 	Limits   *replicalimits.ReplicaLimits
+	Streams  *streams.Streams
 	Now      func() time.Time
 	Logger   log.Logger
 	Metrics  *Metrics
@@ -83,6 +85,8 @@
 	fp      quarantine.Fingerprint
 	partFPs []quarantine.Fingerprint
 	service route.Service
+	// software is the software version that must serve the request; empty if any may.
+	software string
 	// budget bounds the retries of the service's requests.
 	budget *retry.Budget
 	// deadline is when the timeout of the caller or of the route expires.
@@ -108,8 +112,10 @@
 // summary has what the log line and the metrics of a request are made of.
 type summary struct {
 	replica, context, outcome string
-	// software is the version of the replica's software.
-	software string
+	// software is the version of the replica's software, and origin how the one that began
+	// a resumed stream was found out.
+	software                  string
+	origin                    streams.Source
 	version, attempts, status int
 	// parts is the number of shared parts of the prompt, fetched and saved the
 	// numbers of those that are fetched from and saved to a store.
@@ -150,7 +156,9 @@
 		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(rl.Now()))
 		defer cancel()
 		c.ctx = ctx
-		ref = c.forward()
+		if ref = c.findOrigin(); ref == nil {
+			ref = c.forward()
+		}
 	}
 	if ref != nil {
 		c.refuse(ref)
@@ -190,7 +198,12 @@
 			return c.refuseCrashing(v)
 		}
 	}
-	c.service = table.Services[c.route.Pick(xxhash.Sum64String(c.info.ID))]
+	// A resumed stream stays with the service of the request that began it.
+	began := c.info.ID
+	if c.resumes() && c.info.Resumes != "" {
+		began = c.info.Resumes
+	}
+	c.service = table.Services[c.route.Pick(xxhash.Sum64String(began))]
 	c.deadline = c.began.Add(defaultTimeout)
 	if c.info.Timeout > 0 {
 		c.deadline = c.began.Add(c.info.Timeout)
@@ -334,7 +347,7 @@
 		version = c.intent.Table.Version
 	}
 	_ = c.relay.Logger.Log("id", c.info.ID, "route", routeName, "account", c.account.Name, "config", version,
-		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "weights", c.summary.version, "context", c.summary.context,
+		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "origin", c.summary.origin, "weights", c.summary.version, "context", c.summary.context,
 		"running", c.summary.estimate.Running, "fill", strconv.FormatFloat(c.summary.estimate.MemoryFill, 'f', 2, 64),
 		"unread", c.summary.estimate.PendingPrefill, "expected", c.summary.estimate.Delay.Round(time.Millisecond), "reading", c.summary.prefillTokens,
 		"tries", c.summary.attempts, "gave-up", c.summary.giveUpReason, "outcome", c.summary.outcome, "status", c.summary.status,
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -60,6 +60,9 @@
 	var events eventstream.Scanner
 	flush := stream || resp.ContentLength < 0
 	c.setFraming(stream)
+	if stream && resp.StatusCode < http.StatusMultipleChoices {
+		c.recordOrigin(pl)
+	}
 	c.w.WriteHeader(resp.StatusCode)
 	buf := copyBuffers.Get().(*[8 << 10]byte)
 	defer copyBuffers.Put(buf)
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -106,9 +106,21 @@
 	rs.pool.Begin(p.ID, p.Load)
 }
 
-// MaySend reports whether the limit of its replica still allows a placed request to be
-// sent: it must have been granted within grantTTL if there is a limit now.
+// MaySend reports whether a placed request may still be sent: it must have been granted
+// within grantTTL if its replica states a limit now, and a request for a software version
+// must find it there.
 func (rs *Replicas) MaySend(now time.Time, p *Placement) bool {
+	if p.request.Software != "" && !rs.runs(p.Replica, p.request.Software) {
+		return false
+	}
 	limit, ok := rs.Limit(p.ID, p.Incarnation)
 	return !ok || !limit.Limited || now.Sub(p.grantedAt) < grantTTL
 }
+
+// runs reports whether the list still has the replica's incarnation with a software version.
+func (rs *Replicas) runs(r pool.Replica, software string) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	current, ok := rs.pool.Replica(r.ID)
+	return ok && current.Software == software && current.Incarnation == r.Incarnation
+}
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -78,6 +78,9 @@
 	// OnCrash, if set, is called for each replica that left the list or restarted
 	// without draining before. It must not call methods of Replicas.
 	OnCrash func(now time.Time, r pool.Replica)
+	// OnChange, if set, is called for each replica that enters the list, changes there or
+	// leaves it. It must not call methods of Replicas.
+	OnChange func(now time.Time, r pool.Replica)
 
 	mu sync.Mutex
 	// named has the newest weight version that the operators named for each model.
@@ -143,6 +146,10 @@
 		}
 		old, known := rs.pool.Replica(r.ID)
 		rs.pool.Set(r)
+		if known {
+			rs.reportChange(now, old)
+		}
+		rs.reportChange(now, r)
 		rs.matchLimit(now, r)
 		if known && old.Incarnation != r.Incarnation {
 			rs.reportCrash(now, old)
@@ -166,11 +173,21 @@
 func (rs *Replicas) removeEntry(now, at time.Time, id string) {
 	r, known := rs.pool.Replica(id)
 	rs.remove(now, at, id)
+	if known {
+		rs.reportChange(now, r)
+	}
 	if known && !now.Before(at) {
 		rs.reportCrash(now, r)
 	}
 }
 
+// reportChange calls OnChange for a replica.
+func (rs *Replicas) reportChange(now time.Time, r pool.Replica) {
+	if rs.OnChange != nil {
+		rs.OnChange(now, r)
+	}
+}
+
 // reportCrash calls OnCrash for a replica, unless it was draining.
 func (rs *Replicas) reportCrash(now time.Time, r pool.Replica) {
 	if rs.OnCrash != nil && !r.Draining {
@@ -194,6 +211,7 @@
 	defer rs.mu.Unlock()
 	for _, r := range rs.pool.Sweep(now) {
 		rs.dropConns(r.ID)
+		rs.reportChange(now, r)
 		rs.reportCrash(now, r)
 	}
 	for v, at := range rs.loadedAt {
--- /dev/null
+++ b/entry/streams/streams.go
@@ -0,0 +1,349 @@
+// Package streams finds out which software version of a service began a stream that a caller
+// resumes. What two versions write does not fit together, and replicas don't check it.
+//
+// Each instance keeps the origins of the streams that it began. While several versions serve,
+// it sends them to a few other instances, chosen by rendezvous hashing, so that they outlive
+// it. A stream of which no origin is found began at the only version that served lately, or
+// its origin is not known.
+package streams
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"crocusfold.dev/core/grantors"
+	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/roster"
+	"crocusfold.dev/core/softwareversion"
+	"crocusfold.dev/core/streamorigin"
+	"crocusfold.dev/core/topicview"
+	"crocusfold.dev/entry/adapter"
+	"crocusfold.dev/entry/edgeconfig"
+	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/peerrpc"
+	"crocusfold.dev/entry/replicas"
+	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/shell/clock"
+)
+
+const (
+	// sendInterval is the pause between two messages with new origins to an instance.
+	sendInterval = 50 * time.Millisecond
+	// observeInterval is the pause between two observations of the versions that serve.
+	observeInterval = 200 * time.Millisecond
+	// callTimeout bounds a call of another instance.
+	callTimeout = 150 * time.Millisecond
+	// defaultTimeout is the longest time of a stream if a route sets none.
+	defaultTimeout = 30 * time.Second
+	// maxUnsent bounds the origins that wait to be sent.
+	maxUnsent = 1 << 14
+)
+
+// Source is how the origin of a stream was found out, for the log and the metrics.
+type Source string
+
+// The sources.
+const (
+	// Own means that this instance knows the origin.
+	Own Source = "own"
+	// OnlyVersion means that only one version can have begun the stream.
+	OnlyVersion Source = "only-version"
+	// Peer means that another instance knows the origin.
+	Peer Source = "peer"
+	// Unknown means that the origin could not be found out.
+	Unknown Source = "unknown"
+)
+
+// Streams keeps the origins of streams and the versions that served. The exported fields
+// must be set before Attach. It is safe for concurrent use.
+type Streams struct {
+	Self     roster.Member
+	Endpoint *peerrpc.Endpoint
+	Topics   *topics.Topics
+	Replicas *replicas.Replicas
+	Decoder  adapter.Decoder
+	Bounds   *edgeconfig.LiveBounds
+	Now      func() time.Time
+	Logger   log.Logger
+
+	mu      sync.Mutex
+	origins streamorigin.Origins
+	history softwareversion.History
+	owners  grantors.Grantors
+	// unsent has the own streams that were not sent to their owners yet.
+	unsent []message.StreamOrigin
+	// mixed is true while several versions of a service served lately.
+	mixed bool
+}
+
+// Attach registers the handler for the messages of peers. It must be called before the
+// endpoint serves.
+func (s *Streams) Attach() {
+	s.Endpoint.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
+		switch m := msg.(type) {
+		case message.StreamOrigins:
+			s.merge(s.Now(), m.Origins)
+			return message.Ack{}, true, nil
+		case message.StreamQuery:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			o, ok := s.origins.Lookup(m.Request)
+			return message.StreamOriginResponse{Known: ok, Service: o.Service, Version: o.Version}, true, nil
+		default:
+			return nil, false, nil
+		}
+	})
+}
+
+// SetOwners sets the instances among which the owners of streams are chosen.
+func (s *Streams) SetOwners(g grantors.Grantors) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owners = g
+}
+
+// Run observes the versions that serve and sends origins to their owners, until ctx ends.
+func (s *Streams) Run(ctx context.Context) {
+	var observedAt time.Time
+	clock.Every(ctx, sendInterval, func() {
+		now := s.Now()
+		if now.Sub(observedAt) >= observeInterval {
+			s.observe(now)
+			observedAt = now
+		}
+		s.send(ctx)
+	})
+}
+
+// window returns how long ago a stream that still runs may have begun, as far as this
+// instance knows of its replica: the other instances may use a replica a little longer.
+func (s *Streams) window() time.Duration {
+	timeout := defaultTimeout
+	if in := s.Topics.Intent(); in != nil && in.Table.ResumableTimeout > 0 {
+		timeout = in.Table.ResumableTimeout
+	}
+	return timeout + s.Bounds.Bounds().Drain
+}
+
+// observe records the versions of the replicas in the list.
+func (s *Streams) observe(now time.Time) {
+	in := s.Topics.Intent()
+	if in == nil {
+		return
+	}
+	window, mixed := s.window(), false
+	for service := range in.Table.ResumableServices {
+		var all []pool.Replica
+		s.Replicas.WithPool(func(p *pool.Pool) { all = p.All(service) })
+		s.mu.Lock()
+		for _, r := range all {
+			s.history.See(now, service, r.Software)
+		}
+		mixed = mixed || len(s.history.Recent(service, now.Add(-window))) > 1
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Sweep(now)
+	if mixed != s.mixed {
+		s.mixed = mixed
+		_ = s.Logger.Log("msg", "Streams have several software versions, or one again.", "several", mixed)
+	}
+}
+
+// ReplicaChanged records the version of a replica that entered, changed in or left the list.
+func (s *Streams) ReplicaChanged(now time.Time, r pool.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.See(now, r.Service, r.Software)
+}
+
+// ListLoaded records that this instance has read the list of replicas for the first time.
+// If complete is true, records are all records that the list ever had.
+func (s *Streams) ListLoaded(now time.Time, records []topicview.Record, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, rec := range records {
+		if r, err := s.Decoder.Replica(now, rec); err == nil {
+			s.history.See(now, r.Service, r.Software)
+		}
+	}
+	since := now
+	if complete {
+		since = now.Add(-time.Hour)
+	}
+	s.history.Cover(since)
+}
+
+// Began records that the response to a caller's request is the begin of a stream from a
+// version of a service, or goes on with the stream that the request began.
+func (s *Streams) Began(now time.Time, request, service, version string) {
+	origin := message.StreamOrigin{Request: xxhash.Sum64String(request), Service: service, Version: version}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.origins.Add(now, s.window(), origin.Request, streamorigin.Origin{Service: service, Version: version, At: now})
+	if len(s.unsent) >= maxUnsent {
+		s.unsent = append(s.unsent[:0], s.unsent[maxUnsent/2:]...)
+	}
+	s.unsent = append(s.unsent, origin)
+}
+
+// merge adds origins that a peer has sent.
+func (s *Streams) merge(now time.Time, origins []message.StreamOrigin) {
+	window := s.window()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range origins {
+		s.origins.Add(now, window, o.Request, streamorigin.Origin{Service: o.Service, Version: o.Version, At: now})
+	}
+}
+
+// send sends new origins to their owners while several versions serve. Before, they are kept
+// as long as their streams may run.
+func (s *Streams) send(ctx context.Context) {
+	now, window := s.Now(), s.window()
+	s.mu.Lock()
+	unsent := s.unsent
+	if !s.mixed {
+		s.unsent = s.dropEnded(now, window, unsent)
+		s.mu.Unlock()
+		return
+	}
+	s.unsent = nil
+	owners := s.owners
+	s.mu.Unlock()
+	byOwner := map[netip.AddrPort][]message.StreamOrigin{}
+	for _, o := range unsent {
+		for _, owner := range ownersOf(owners, o.Request) {
+			if owner != s.Self.Address {
+				byOwner[owner] = append(byOwner[owner], o)
+			}
+		}
+	}
+	for owner, origins := range byOwner {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if _, err := s.Endpoint.Call(ctx, roster.Member{Name: owner.String(), Address: owner}, message.StreamOrigins{Origins: origins}); err != nil && ctx.Err() == nil {
+				_ = s.Logger.Log("msg", "Sending the origins of streams failed.", "peer", owner, "streams", len(origins), "err", err)
+			}
+		}()
+	}
+}
+
+// dropEnded drops the origins at the front of the list whose streams can't run any more. The
+// caller holds the lock.
+func (s *Streams) dropEnded(now time.Time, window time.Duration, unsent []message.StreamOrigin) []message.StreamOrigin {
+	for len(unsent) > 0 {
+		o, ok := s.origins.Lookup(unsent[0].Request)
+		if ok && now.Sub(o.At) < window {
+			break
+		}
+		unsent = unsent[1:]
+	}
+	return unsent
+}
+
+// ownersOf returns the instances that keep the origin of a stream.
+func ownersOf(g grantors.Grantors, request uint64) []netip.AddrPort {
+	return g.Of(string(digits(request)), grantors.MaxPerKey)
+}
+
+// digits returns the hexadecimal digits of a digest.
+func digits(n uint64) []byte {
+	const hex = "0123456789abcdef"
+	out := make([]byte, 16)
+	for i := range out {
+		out[i] = hex[n>>(60-4*i)&15]
+	}
+	return out
+}
+
+// Origin returns the service and the software version that began the stream which a request
+// began, and how they were found out. The request is empty if the caller does not state it;
+// service is the one that the route would choose for it.
+func (s *Streams) Origin(ctx context.Context, now time.Time, request, service string) (streamorigin.Origin, Source) {
+	digest := xxhash.Sum64String(request)
+	window := s.window()
+	s.mu.Lock()
+	origin, own := s.origins.Lookup(digest)
+	version, only := s.history.Only(service, now.Add(-window))
+	owners := ownersOf(s.owners, digest)
+	s.mu.Unlock()
+	switch {
+	case own && request != "":
+		return origin, Own
+	case only:
+		return streamorigin.Origin{Service: service, Version: version}, OnlyVersion
+	case request == "":
+		return streamorigin.Origin{}, Unknown
+	}
+	if origin, ok := s.ask(ctx, owners, digest); ok {
+		return origin, Peer
+	}
+	return streamorigin.Origin{}, Unknown
+}
+
+// ask asks the owners of a stream for its origin at once.
+func (s *Streams) ask(ctx context.Context, owners []netip.AddrPort, request uint64) (streamorigin.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answers := make(chan message.StreamOriginResponse, len(owners))
+	asked := 0
+	for _, owner := range owners {
+		if owner == s.Self.Address {
+			continue
+		}
+		asked++
+		go func() {
+			resp, err := peerrpc.Call[message.StreamOriginResponse](ctx, s.Endpoint, roster.Member{Name: owner.String(), Address: owner}, message.StreamQuery{Request: request})
+			if err != nil {
+				resp = message.StreamOriginResponse{}
+			}
+			answers <- resp
+		}()
+	}
+	for range asked {
+		if a := <-answers; a.Known {
+			return streamorigin.Origin{Service: a.Service, Version: a.Version}, true
+		}
+	}
+	return streamorigin.Origin{}, false
+}
+
+// FillGossip adds the versions that served lately to a message.
+func (s *Streams) FillGossip(now time.Time, m *message.Gossip) {
+	in := s.Topics.Intent()
+	if in == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, ok := s.history.Covers()
+	if !ok {
+		return
+	}
+	m.VersionsCovered = max(0, now.Sub(since))
+	for service := range in.Table.ResumableServices {
+		for _, v := range s.history.Recent(service, since) {
+			m.SoftwareVersions = append(m.SoftwareVersions, message.ServedVersion{Service: service, Version: v.Version, Age: max(0, now.Sub(v.At))})
+		}
+	}
+}
+
+// MergeGossip merges the versions that a peer knows to have served.
+func (s *Streams) MergeGossip(now time.Time, m message.Gossip) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range m.SoftwareVersions {
+		s.history.See(now.Add(-max(0, v.Age)), v.Service, v.Version)
+	}
+	if _, loaded := s.history.Covers(); loaded && m.VersionsCovered > 0 {
+		s.history.Cover(now.Add(-m.VersionsCovered))
+	}
+}
--- a/entry/topics/peers_test.go
+++ b/entry/topics/peers_test.go
@@ -20,6 +20,7 @@
 	topics := &Topics{
 		Now: func() time.Time { return now }, Logger: log.NewNopLogger(), IsReader: func(time.Time) bool { return false },
 		OnReplicas: func(time.Time, []topicview.Record, time.Time) {}, OnRestore: func() {},
+		OnListLoaded: func(time.Time, []topicview.Record, bool) {},
 	}
 	own := []topicview.Record{{Key: "r1", Value: []byte("own"), Offset: 4}}
 	topics.applyChange(adapter.Replicas, now, topicview.Position{Era: 2, Offset: 5}, func(v *topicview.View) []topicview.Record {
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -102,6 +102,9 @@
 	OnAdvance func()
 	// OnIntent is called when an intent takes effect.
 	OnIntent func(in *adapter.Intent)
+	// OnListLoaded is called when this instance has the list of replicas for the first time.
+	// If complete is true, records are all records that the list ever had.
+	OnListLoaded func(now time.Time, records []topicview.Record, complete bool)
 	// OnRestore is called when the log has come back from a copy, so that what this instance
 	// wrote may be lost.
 	OnRestore func()
@@ -238,12 +241,43 @@
 	if next := t.next(topic); end.Before(next) {
 		return fmt.Errorf("listing up to offset %d of era %d, after %d of era %d: %w", end.Offset, end.Era, next.Offset, next.Era, errOutdated)
 	}
+	var history []topicview.Record
+	complete := false
+	if topic == adapter.Replicas && !t.loaded(topic) {
+		history, complete = t.readHistory(ctx, topic, end)
+	}
 	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Replace(records, end) })
+	if complete {
+		t.OnListLoaded(t.Now(), history, true)
+	}
 	t.recordReadResult(topic, nil)
 	t.OnAdvance()
 	return nil
 }
 
+// readHistory reads all records that a topic ever had, up to the position end. It returns
+// false if the log no longer has them, or may have lost some by a restore.
+func (t *Topics) readHistory(ctx context.Context, topic adapter.Topic, end topicview.Position) ([]topicview.Record, bool) {
+	if end.Era > firstEra {
+		return nil, false
+	}
+	var all []topicview.Record
+	for next := (topicview.Position{Era: end.Era}); next.Before(end); {
+		records, read, err := t.Log.Read(ctx, topic, next, 0)
+		if err != nil || !next.Before(read) {
+			return nil, false
+		}
+		all, next = append(all, records...), read
+	}
+	return all, true
+}
+
+func (t *Topics) loaded(topic adapter.Topic) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.views[topic].Loaded()
+}
+
 // applyChange changes a view by calling change, after which it is complete up to the
 // position end as of the time proven, and passes the records that changed to the callback
 // of the topic.
@@ -253,9 +287,12 @@
 	now := t.Now()
 	t.observeEra(now, end.Era, 0)
 	view := &t.views[topic]
-	before := view.Proof()
+	before, loaded := view.Proof(), view.Loaded()
 	changed := change(view)
 	view.RecordProof(proven, end)
+	if topic == adapter.Replicas && view.Loaded() && !loaded {
+		t.OnListLoaded(now, nil, false)
+	}
 	if topic == adapter.Replicas {
 		if t.replicasReadFailed && !before.IsZero() && proven.Sub(before) > minOutage {
 			t.recoveredAt = now
