Answer each request that a stopping instance reads

Report of another operator: in a planned stop in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end (LOST). It could happen here. Cases in stops.txt, on the code before: a request that needs 6 s, sent 2 s after the signal, gets no response, nor do two that run at the end of the grace period. Found beside it: net/http's Shutdown closes a connection without a response if its request arrives after Shutdown was called, so a request 3.5 s after the signal was dropped. Cause: a stopping instance took each request whatever its deadline, and the end of the process was the only end of those that ran. Change: a stopping instance refuses at once, as not run, what may not end in time: by the deadline of the request, and by the longest time of its route in the last half minute (core/shutdown); without that, a request that may not be repeated. What still runs 0.7 s before the end of the grace period gets its final response, 504 or 503. Instead of Shutdown, the listener is closed and the connections end with their next response. Four of the five cases fail before (no response in each), all pass now; those of leaving.txt pass as before.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -63,8 +62,12 @@
 	// are accepted later may not finish within the grace period.
 	unreadyWait = 2600 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for the exit of the
-	// process.
-	stopMargin = 600 * time.Millisecond
+	// process, and finalResponseTime the part before it in which requests that still run
+	// get their final response.
+	stopMargin        = 600 * time.Millisecond
+	finalResponseTime = 100 * time.Millisecond
+	// stopPollInterval is the pause between two checks whether all connections are closed.
+	stopPollInterval = 20 * time.Millisecond
 	// announceRetryPause is the pause after a failed write of the instance's record.
 	announceRetryPause = 500 * time.Millisecond
 	// metricsInterval is the interval at which counters are reported.
@@ -262,11 +265,15 @@
 	peerMux.Handle(peer.Path, e.endpoint.HTTPHandler())
 	internalServers := []*http.Server{{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, {Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}, {Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}}
 	errs := make(chan error, 1+len(internalServers))
+	var callerListener net.Listener
 	for server, address := range map[*http.Server]netip.AddrPort{callerServer: e.cfg.Front, internalServers[0]: e.cfg.Ready, internalServers[1]: e.cfg.Peers, internalServers[2]: netip.AddrPortFrom(e.cfg.Front.Addr(), metricsPort)} {
 		ln, err := e.listen(address)
 		if err != nil {
 			return fmt.Errorf("listening: %w", err)
 		}
+		if server == callerServer {
+			callerListener = ln
+		}
 		go func() { errs <- server.Serve(ln) }()
 	}
 	defer func() {
@@ -289,7 +296,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	e.shutDown(callerServer)
+	e.shutDown(callerServer, callerListener)
 	stop()
 	e.endpoint.Close()
 	return nil
@@ -387,24 +394,33 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// shutDown turns the instance unready, resigns leadership, accepts requests for
-// unreadyWait, and returns when all requests have finished or only stopMargin is left
-// of the grace period.
-func (e *Edge) shutDown(callerServer *http.Server) {
+// shutDown turns the instance unready, resigns leadership, accepts connections for
+// unreadyWait, and returns when all are closed or only stopMargin is left of the grace
+// period. http.Server.Shutdown is not used, since it drops requests that arrive on open
+// connections without a response.
+func (e *Edge) shutDown(callerServer *http.Server, callerListener net.Listener) {
 	start := e.now()
+	grace := e.bounds.Bounds().Grace
+	end := start.Add(grace - stopMargin)
 	e.leaving.Store(true)
-	e.relay.DisableKeepAlives()
+	e.relay.BeginShutdown(end.Add(-finalResponseTime))
 	e.gossip.Leave()
 	_ = e.logger.Log("msg", "The instance is leaving.", "in-flight", e.relay.InFlight(), "connections", e.openConns.Load())
 	resignCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 	e.leader.Resign(resignCtx)
 	cancel()
-	time.Sleep(min(unreadyWait, e.bounds.Bounds().Grace/2))
-	// Shutdown closes idle connections and lets running requests finish.
-	ctx, cancel := context.WithTimeout(context.Background(), e.bounds.Bounds().Grace-stopMargin-e.now().Sub(start))
-	defer cancel()
-	if err := callerServer.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+	time.Sleep(min(unreadyWait, grace/2) - e.now().Sub(start))
+	_ = callerListener.Close()
+	// This closes idle connections, and others after their next response.
+	callerServer.SetKeepAlivesEnabled(false)
+	for e.openConns.Load() > 0 && e.now().Before(end.Add(-finalResponseTime)) {
+		time.Sleep(stopPollInterval)
+	}
+	if e.openConns.Load() > 0 {
 		_ = e.logger.Log("msg", "Requests were still running at the end of the grace period.", "in-flight", e.relay.InFlight())
+		e.relay.EndRequests()
+		time.Sleep(end.Sub(e.now()))
 	}
+	_ = callerServer.Close()
 	_ = e.logger.Log("msg", "The instance has stopped.")
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/retrypolicy"
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/core/shutdown"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/replicalimits"
@@ -33,6 +35,9 @@
 	// revocationMargin is subtracted from the time for which a revoked key may still
 	// be served, to allow for the transit of the request and for clock errors.
 	revocationMargin = 400 * time.Millisecond
+	// stoppingRetry is the delay in the Retry-After header of a stopping instance. Callers
+	// return on a new connection, which leads to another one.
+	stoppingRetry = 50 * time.Millisecond
 	// defaultTimeout applies to a request if the caller states no timeout. The route
 	// may set a shorter one.
 	defaultTimeout = 30 * time.Second
@@ -59,12 +64,70 @@
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
 
-	keepAlivesDisabled atomic.Bool
-	inFlight           atomic.Int64
+	// shutdown is nil unless the instance is stopping.
+	shutdown atomic.Pointer[shutdown.Shutdown]
+	inFlight atomic.Int64
+
+	mu        sync.Mutex
+	durations shutdown.Durations
+	// running has the cancel functions of the requests that run. ended is true once
+	// EndRequests was called.
+	running map[*call]context.CancelFunc
+	ended   bool
+}
+
+// BeginShutdown closes each caller's connection after the next response on it, and refuses
+// requests that may not complete before the end.
+func (rl *Relay) BeginShutdown(end time.Time) { rl.shutdown.Store(&shutdown.Shutdown{End: end}) }
+
+// EndRequests ends all requests that run. Those without a response get their final one.
+func (rl *Relay) EndRequests() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.ended = true
+	for _, cancel := range rl.running {
+		cancel()
+	}
+}
+
+// start registers a request that runs, so that EndRequests ends it. The returned function
+// removes it.
+func (rl *Relay) start(c *call, cancel context.CancelFunc) (remove func()) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if rl.running == nil {
+		rl.running = map[*call]context.CancelFunc{}
+	}
+	rl.running[c] = cancel
+	if rl.ended {
+		cancel()
+	}
+	return func() {
+		rl.mu.Lock()
+		defer rl.mu.Unlock()
+		delete(rl.running, c)
+		if c.route != nil && c.summary.outcome == "ok" {
+			rl.durations.Observe(rl.Now(), c.route.Name, rl.Now().Sub(c.began))
+		}
+	}
 }
 
-// DisableKeepAlives closes each caller's connection after the next response on it.
-func (rl *Relay) DisableKeepAlives() { rl.keepAlivesDisabled.Store(true) }
+// checkShutdown returns a refusal if the instance is stopping and the request may not
+// complete before the end, and bounds the deadline of the others.
+func (c *call) checkShutdown(now time.Time) *refusal {
+	s := c.relay.shutdown.Load()
+	if s == nil {
+		return nil
+	}
+	c.relay.mu.Lock()
+	longest := c.relay.durations.Longest(c.route.Name)
+	c.relay.mu.Unlock()
+	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), TimeLeft: c.deadline.Sub(now), Longest: longest}) {
+		return notRun("instance-stops", stoppingRetry)
+	}
+	c.deadline = s.Deadline(c.deadline)
+	return nil
+}
 
 // InFlight returns the number of requests that are being served.
 func (rl *Relay) InFlight() int { return int(rl.inFlight.Load()) }
@@ -148,13 +211,14 @@
 	c := &call{relay: rl, w: w, r: r, began: rl.Now(), attemptedReplicas: map[string]bool{}}
 	// net/http does not say whether a chunked request also had a Content-Length. Such
 	// a request can smuggle a second one, so nothing is read after it.
-	if rl.keepAlivesDisabled.Load() || len(r.TransferEncoding) > 0 {
+	if rl.shutdown.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	ref := c.admit()
 	if ref == nil {
 		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(rl.Now()))
 		defer cancel()
+		defer rl.start(c, cancel)()
 		c.ctx = ctx
 		if ref = c.findOrigin(); ref == nil {
 			ref = c.forward()
@@ -211,6 +275,9 @@
 	if limit := c.began.Add(c.route.Timeout); c.route.Timeout > 0 && limit.Before(c.deadline) {
 		c.deadline = limit
 	}
+	if ref := c.checkShutdown(rl.Now()); ref != nil {
+		return ref
+	}
 	c.budget = rl.Budgets.Service(c.service.Name)
 	c.budget.Deposit()
 	return nil
