--- a/core/softwareversion/softwareversion.go
+++ b/core/softwareversion/softwareversion.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// Uncover records that versions may have served unseen.
+func (h *History) Uncover() { h.covered = false }
+
 // Covers returns the time from which on all versions are known; ok is false if there is
 // none.
 func (h *History) Covers() (since time.Time, ok bool) { return h.since, h.covered }
--- a/core/softwareversion/softwareversion_test.go
+++ b/core/softwareversion/softwareversion_test.go
@@ -22,6 +22,8 @@
 				h.See(at, args[2], strings.Trim(args[3], `"`))
 			case "cover":
 				h.Cover(at)
+			case "uncover":
+				h.Uncover()
 			case "sweep":
 				h.Sweep(at)
 			case "only":
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -158,6 +158,7 @@
 	e.streams = &streams.Streams{
 		Self: self, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas, Decoder: platform.Decoder, Bounds: &e.bounds,
 		Now: now, Logger: part("streams"),
+		Connected: func(now time.Time) bool { _, connected := e.gossip.Rank(now); return connected },
 	}
 	e.gossip.Streams, e.replicas.OnChange, e.topics.OnListLoaded = e.streams, e.streams.ReplicaChanged, e.streams.ListLoaded
 	e.topics.OnRestore = e.writeAgain
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -36,6 +36,9 @@
 	sendInterval = 50 * time.Millisecond
 	// observeInterval is the pause between two observations of the versions that serve.
 	observeInterval = 200 * time.Millisecond
+	// maxObserveGap is the time without an observation from which versions may have served
+	// unseen, as after a suspension of the machine.
+	maxObserveGap = time.Second
 	// callTimeout bounds a call of another instance.
 	callTimeout = 150 * time.Millisecond
 	// defaultTimeout is the longest time of a stream if a route sets none.
@@ -70,6 +73,8 @@
 	Bounds   *edgeconfig.LiveBounds
 	Now      func() time.Time
 	Logger   log.Logger
+	// Connected reports whether this instance is connected to a majority of the instances.
+	Connected func(now time.Time) bool
 
 	mu      sync.Mutex
 	origins streamorigin.Origins
@@ -77,6 +82,8 @@
 	owners  grantors.Grantors
 	// unsent has the own streams that were not sent to their owners yet.
 	unsent []message.StreamOrigin
+	// observedAt is when the versions that serve were last observed.
+	observedAt time.Time
 	// mixed is true while several versions of a service served lately.
 	mixed bool
 }
@@ -109,17 +116,25 @@
 
 // Run observes the versions that serve and sends origins to their owners, until ctx ends.
 func (s *Streams) Run(ctx context.Context) {
-	var observedAt time.Time
 	clock.Every(ctx, sendInterval, func() {
 		now := s.Now()
-		if now.Sub(observedAt) >= observeInterval {
+		s.mu.Lock()
+		due := now.Sub(s.observedAt) >= observeInterval
+		s.mu.Unlock()
+		if due {
 			s.observe(now)
-			observedAt = now
 		}
 		s.send(ctx)
 	})
 }
 
+// seesVersions reports whether a version that began to serve would be known: the list of
+// replicas is fresh, or this instance learns what a majority of the instances learns.
+func (s *Streams) seesVersions(now time.Time) bool {
+	age, ok := s.Topics.ReplicasProofAge(now)
+	return ok && (age <= s.Bounds.Bounds().Drain || s.Connected(now))
+}
+
 // window returns how long ago a stream that still runs may have begun, as far as this
 // instance knows of its replica: the other instances may use a replica a little longer.
 func (s *Streams) window() time.Duration {
@@ -136,7 +151,17 @@
 	if in == nil {
 		return
 	}
-	window, mixed := s.window(), false
+	window, mixed, sees := s.window(), false, s.seesVersions(now)
+	s.mu.Lock()
+	if gap := now.Sub(s.observedAt); s.observedAt.IsZero() || gap <= maxObserveGap && sees {
+		if _, ok := s.history.Covers(); sees && !ok {
+			s.history.Cover(now)
+		}
+	} else {
+		s.history.Uncover()
+	}
+	s.observedAt = now
+	s.mu.Unlock()
 	for service := range in.Table.ResumableServices {
 		var all []pool.Replica
 		s.Replicas.WithPool(func(p *pool.Pool) { all = p.All(service) })
@@ -269,10 +294,11 @@
 // service is the one that the route would choose for it.
 func (s *Streams) Origin(ctx context.Context, now time.Time, request, service string) (streamorigin.Origin, Source) {
 	digest := xxhash.Sum64String(request)
-	window := s.window()
+	window, sees := s.window(), s.seesVersions(now)
 	s.mu.Lock()
 	origin, own := s.origins.Lookup(digest)
 	version, only := s.history.Only(service, now.Add(-window))
+	only = only && sees && now.Sub(s.observedAt) <= maxObserveGap
 	owners := ownersOf(s.owners, digest)
 	s.mu.Unlock()
 	switch {
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -355,6 +355,15 @@
 	return now.Sub(proof), !proof.IsZero()
 }
 
+// ReplicasProofAge returns the age of the proof that the list of replicas is complete; ok is
+// false if there is none.
+func (t *Topics) ReplicasProofAge(now time.Time) (age time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	proof := t.views[adapter.Replicas].Proof()
+	return now.Sub(proof), !proof.IsZero()
+}
+
 // Complete reports whether the view of the operators' records was complete at some time
 // after the latest restore of the log. Before that, records that were confirmed may be
 // missing.
