Deliver no request from a connection that was closed as idle

Each time a request that arrives 2.6 s after SIGTERM, as the instance closes its idle connections, is passed on to a replica and its connection is closed without an answer. Change: entry/callerconns tracks which connections are idle from the bytes that arrive; one that it closes delivers no more bytes, so that no request is taken from it. New connections stay open and get their answer.

--- /dev/null
+++ b/entry/callerconns/callerconns.go
@@ -0,0 +1,113 @@
+// Package callerconns closes idle connections of callers without losing a request that
+// arrives at that moment.
+package callerconns
+
+import (
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Listener accepts connections of callers and tracks which of them are idle. An http.Server
+// may close a connection as idle after it has read a part of a request, and then serves that
+// request nevertheless. A connection that a Listener closes delivers no more bytes.
+type Listener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	listener *Listener
+
+	mu sync.Mutex
+	// idle is true from the end of a response until bytes of the next request arrive.
+	idle, closed bool
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = map[*conn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// Observe is to be called with each state of a connection, as http.Server.ConnState is.
+func (l *Listener) Observe(accepted net.Conn, state http.ConnState) {
+	c, ok := accepted.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.idle = true
+	case http.StateClosed, http.StateHijacked:
+		l.remove(c)
+	}
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// CloseIdle closes the connections that are idle. Those on which no request has arrived yet
+// stay open.
+func (l *Listener) CloseIdle() {
+	l.mu.Lock()
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.closeIfIdle()
+	}
+}
+
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.closed {
+		c.closed = true
+		_ = c.Conn.Close()
+	}
+}
+
+// Read reads bytes of a request. It returns net.ErrClosed if the connection was closed as
+// idle before they were delivered.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.idle = false
+	}
+	return n, err
+}
+
+// SetLinger sets the linger option of a TCP connection; it does nothing on others.
+func (c *conn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -29,6 +29,7 @@
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/topicview"
 	"crocusfold.dev/entry/adapter"
+	"crocusfold.dev/entry/callerconns"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/gossip"
 	"crocusfold.dev/entry/leader"
@@ -256,7 +257,7 @@
 	e.streams.Attach()
 	callerServer := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: e.countConns, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+e.platform.ReadyPath, e.handleReady)
@@ -266,14 +267,19 @@
 	peerMux.Handle(peer.Path, e.endpoint.HTTPHandler())
 	internalServers := []*http.Server{{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, {Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}, {Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}}
 	errs := make(chan error, 1+len(internalServers))
-	var callerListener net.Listener
+	callers := &callerconns.Listener{}
+	callerServer.ConnState = func(conn net.Conn, state http.ConnState) {
+		callers.Observe(conn, state)
+		e.countConns(conn, state)
+	}
 	for server, address := range map[*http.Server]netip.AddrPort{callerServer: e.cfg.Front, internalServers[0]: e.cfg.Ready, internalServers[1]: e.cfg.Peers, internalServers[2]: netip.AddrPortFrom(e.cfg.Front.Addr(), metricsPort)} {
 		ln, err := e.listen(address)
 		if err != nil {
 			return fmt.Errorf("listening: %w", err)
 		}
 		if server == callerServer {
-			callerListener = ln
+			callers.Listener = ln
+			ln = callers
 		}
 		go func() { errs <- server.Serve(ln) }()
 	}
@@ -297,7 +303,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	e.shutDown(callerServer, callerListener)
+	e.shutDown(callerServer, callers)
 	stop()
 	e.endpoint.Close()
 	return nil
@@ -398,8 +404,9 @@
 // shutDown turns the instance unready, resigns leadership, accepts connections for
 // unreadyWait, and returns when all are closed or only stopMargin is left of the grace
 // period. http.Server.Shutdown is not used, since it drops requests that arrive on open
-// connections without a response.
-func (e *Edge) shutDown(callerServer *http.Server, callerListener net.Listener) {
+// connections without a response; nor SetKeepAlivesEnabled, which closes connections on which
+// a request is arriving and serves it nevertheless.
+func (e *Edge) shutDown(callerServer *http.Server, callers *callerconns.Listener) {
 	start := e.now()
 	grace := e.bounds.Bounds().Grace
 	end := start.Add(grace - stopMargin)
@@ -411,10 +418,9 @@
 	e.leader.Resign(resignCtx)
 	cancel()
 	time.Sleep(min(unreadyWait, grace/2) - e.now().Sub(start))
-	_ = callerListener.Close()
-	// This closes idle connections, and others after their next response.
-	callerServer.SetKeepAlivesEnabled(false)
+	_ = callers.Close()
 	for e.openConns.Load() > 0 && e.now().Before(end.Add(-finalResponseTime)) {
+		callers.CloseIdle()
 		time.Sleep(stopPollInterval)
 	}
 	if e.openConns.Load() > 0 {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// closeIfStopping makes the response the last one on the caller's connection if the instance
+// is stopping. It must be called before the head of the response is written.
+func (c *call) closeIfStopping() {
+	if c.relay.shutdown.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // checkShutdown returns a refusal if the instance is stopping and the request may not
 // complete before the end, and bounds the deadline of the others.
 func (c *call) checkShutdown(now time.Time) *refusal {
@@ -211,9 +219,10 @@
 	c := &call{relay: rl, w: w, r: r, began: rl.Now(), attemptedReplicas: map[string]bool{}}
 	// net/http does not say whether a chunked request also had a Content-Length. Such
 	// a request can smuggle a second one, so nothing is read after it.
-	if rl.shutdown.Load() != nil || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	c.closeIfStopping()
 	ref := c.admit()
 	if ref == nil {
 		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(rl.Now()))
@@ -392,6 +401,7 @@
 		c.abort = true
 		return
 	}
+	c.closeIfStopping()
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
 		after := ref.retryAfter.Seconds() * (1 + retryAfterJitter*rand.Float64())
