--- a/core/topicview/history_test.go
+++ b/core/topicview/history_test.go
@@ -161,7 +161,7 @@
 		"delete": func(t *rapid.T) {
 			key := rapid.SampledFrom(keys).Draw(t, "key")
 			if strings.HasPrefix(key, "v") {
-				t.Skip("versions are not deleted")
+				return // versions are not deleted
 			}
 			h.wrote[key]++
 			h.current[key] = 0
