--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -172,6 +172,8 @@
 	Body                  []byte
 	Deadline              time.Duration
 	Header                map[string]string
+	// NewChannel sends the attempt on a channel of its own, as clients do when they retry.
+	NewChannel bool
 }
 
 // Answer is what the client got; Err is the error of a channel that was closed.
@@ -211,7 +213,12 @@
 	for name, value := range c.Header {
 		req.Header.Set(name, value)
 	}
-	resp, err := e.client.Do(req)
+	req.Close = c.NewChannel
+	client := e.client
+	if c.NewChannel {
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return Answer{Err: err}
 	}
--- a/review/standins/revoked.go
+++ b/review/standins/revoked.go
@@ -8,10 +8,11 @@
 	"time"
 )
 
-// revoked lets the store turn the instance away while it serves the operator, who changes
-// a config of many routes several times and takes a key away with the last change. Clients
-// go on with the key. When the store serves the instance again, none of their requests may
-// run, since they were sent later than revokeMs after the acknowledgement.
+// revoked cuts a machine off from the store and from all other machines; clients still
+// reach it. Meanwhile the operator changes a config of many routes several times and takes a
+// key away with the last change. Clients go on with the key. When the cut has healed, none
+// of their requests may run, since they were sent later than revokeMs after the
+// acknowledgement. The other machines have no part in that, so that only the one runs.
 func revoked(d *Deployment, trouble bool) (bool, error) {
 	for i, zone := range []string{"cuenca-norte", "cuenca-sur", "gualaceo"} {
 		r := &Replica{ID: fmt.Sprintf("i-pedidos%d", i+1), Service: "pedidos", Zone: zone, Capacity: 64, Work: 5 * time.Millisecond}
@@ -65,8 +66,8 @@
 	broken := 0
 	for round := 1; round <= rounds && broken == 0; round++ {
 		if trouble {
-			e.door.Shut(true)
-			d.record.Print("round %d: the store turns the instance away with 503, and serves the operator", round)
+			e.door.Cut(true)
+			d.record.Print("round %d: the machine is cut off", round)
 		}
 		time.Sleep(500 * time.Millisecond)
 		for range changes - 1 {
@@ -75,8 +76,8 @@
 		}
 		acknowledged := config("key-a")
 		time.Sleep(cutTime)
-		e.door.Shut(false)
-		d.record.Print("round %d: the store serves the instance again, %.1f s after the acknowledgement", round, time.Since(acknowledged).Seconds())
+		e.door.Cut(false)
+		d.record.Print("round %d: the cut has healed, %.1f s after the acknowledgement", round, time.Since(acknowledged).Seconds())
 		time.Sleep(2500 * time.Millisecond)
 		for _, r := range replicas {
 			for _, run := range r.Runs() {
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -84,21 +84,58 @@
 	store    *Store
 	listener net.Listener
 	mu       sync.Mutex
-	shut     bool
+	// shut makes the store answer 503, and cut resets all channels.
+	shut, cut bool
+	conns     map[net.Conn]bool
 }
 
 // OpenDoor opens a door on a free port of loopback.
 func (s *Store) OpenDoor() *Door {
-	ln := listen("127.0.0.1")
-	d := &Door{store: s, listener: ln}
-	go func() { _ = http.Serve(ln, d) }()
+	d := &Door{store: s, listener: listen("127.0.0.1"), conns: map[net.Conn]bool{}}
+	server := &http.Server{Handler: d, ConnState: d.observe}
+	go func() { _ = server.Serve(d.listener) }()
 	return d
 }
 
+// observe keeps the open channels. It resets new ones while the machine is cut off.
+func (d *Door) observe(conn net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if d.cut {
+			reset(conn)
+			return
+		}
+		d.conns[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(d.conns, conn)
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// Cut cuts the machine off from the store, with resets, or ends that.
+func (d *Door) Cut(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = cut
+	if cut {
+		for conn := range d.conns {
+			reset(conn)
+		}
+	}
+}
+
 // Address returns the address of the door.
 func (d *Door) Address() string { return d.listener.Addr().String() }
 
-// Shut makes the store turn the machine away with 503, or serve it again.
+// Shut makes the store answer the machine with 503, or serve it again.
 func (d *Door) Shut(shut bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
