--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,6 +48,34 @@
 	door               *Door
 	cmd                *exec.Cmd
 	client             *http.Client
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// dial opens a client's channel to the instance, which BreakChannels can break.
+func (e *Edge) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns == nil {
+		e.conns = map[net.Conn]bool{}
+	}
+	e.conns[conn] = true
+	return conn, nil
+}
+
+// BreakChannels breaks all channels of clients to the instance.
+func (e *Edge) BreakChannels() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		reset(conn)
+	}
+	e.conns = nil
 }
 
 // Record is what a case writes to record.txt.
@@ -130,7 +160,7 @@
 	if err := e.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("%w: starting target/crocus-edge: %w", errCannotRun, err)
 	}
-	e.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	e.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: e.dial}}
 	d.edges = append(d.edges, e)
 	d.record.Print("started %s with target/crocus-edge, front %s", e.name, e.front)
 	for deadline := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
@@ -148,6 +178,20 @@
 	}
 }
 
+// Place returns whether an instance is a root of the overlay, and else its parent, as the
+// last line of its log on its place says.
+func (d *Deployment) Place(e *Edge) (root bool, parent string) {
+	raw, _ := os.ReadFile(filepath.Join(d.dir, e.name+".log"))
+	for _, line := range strings.Split(string(raw), "\n") {
+		if m := placeLine.FindStringSubmatch(line); m != nil {
+			root, parent = m[1] == "true", m[2]
+		}
+	}
+	return root, parent
+}
+
+var placeLine = regexp.MustCompile(`msg="The place among the instances changed." root=(\w+) parent="?([^ "]*)`)
+
 func (d *Deployment) logTail(e *Edge) string {
 	raw, _ := os.ReadFile(filepath.Join(d.dir, e.name+".log"))
 	return string(raw[max(0, len(raw)-2000):])
@@ -216,7 +260,7 @@
 	req.Close = c.NewChannel
 	client := e.client
 	if c.NewChannel {
-		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: e.dial}}
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,9 @@
 	"leaving":  leaving,
 	"revoked":  revoked,
 	"evacuate": evacuate,
+	"rejoined": rejoined,
+	"part":     part,
+	"poison":   poison,
 	"versions": versions,
 }
 
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -26,6 +26,12 @@
 	// Events is the number of events of a stream, with Work between two of them; 0 makes it
 	// two events at once after Work.
 	Events int
+	// CrashPart is the shared part of a prompt that crashes the replica, and CrashPath the
+	// path. Down is how long it is down then, and OnCrash is told the request.
+	CrashPart string
+	CrashPath string
+	Down      time.Duration
+	OnCrash   func(id string)
 	// Cache is the store of KV cache that the replica saves to and fetches from.
 	Cache *Cache
 
@@ -36,6 +42,7 @@
 	mu         sync.Mutex
 	leaving    bool
 	runs       []Run
+	crashed    bool
 	running    int
 	beat       int
 	// kept has the parts in the replica's own memory by salt and ID, and who made them.
@@ -184,6 +191,10 @@
 		asked = ", asked to fetch " + fetch
 	}
 	p.deployment.record.Print("%s (%s, %s) runs %s of tenant %q%s%s", p.ID, p.Service, p.Zone, id, run.Tenant, asked, describe(run.Used))
+	if p.crashes(r) {
+		p.crashOn(id)
+		panic(http.ErrAbortHandler)
+	}
 	if p.Events > 0 {
 		p.stream(w, r, id)
 		return
@@ -211,6 +222,46 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// crashes reports whether the path is CrashPath, or a shared part of the prompt, any but the
+// last, is CrashPart.
+func (p *Replica) crashes(r *http.Request) bool {
+	if p.CrashPath != "" && r.URL.Path == p.CrashPath {
+		return true
+	}
+	parts := strings.Split(r.Header.Get("Crocusfold-Prompt-Prefix"), ",")
+	for _, entry := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(entry, ":"); p.CrashPart != "" && id == p.CrashPart {
+			return true
+		}
+	}
+	return false
+}
+
+// crashOn crashes the replica as it begins to write an answer, and has it back after Down.
+func (p *Replica) crashOn(id string) {
+	time.Sleep(100 * time.Millisecond)
+	p.mu.Lock()
+	first := !p.crashed
+	p.crashed = true
+	p.mu.Unlock()
+	if !first {
+		return
+	}
+	p.Crash()
+	p.deployment.record.Print("%s crashes on %s", p.ID, id)
+	p.OnCrash(id)
+	go func() {
+		time.Sleep(p.Down)
+		p.mu.Lock()
+		p.crashed = false
+		p.mu.Unlock()
+		if err := p.Restart("v1"); err == nil {
+			p.Register("ready")
+			p.deployment.record.Print("%s is back", p.ID)
+		}
+	}()
+}
+
 // stream answers with a stream of events that name the software version that made them.
 func (p *Replica) stream(w http.ResponseWriter, r *http.Request, id string) {
 	h, software := w.Header(), p.software()
