--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -60,9 +60,7 @@
 				}
 				all = append(all, s)
 				mu.Unlock()
-				if s.answer.Status != 200 {
-					d.record.Print("client sent %s to %s %.0f ms ago; answer %s", s.id, s.edge.name, time.Since(s.at).Seconds()*1000, s.answer)
-				}
+				d.record.Print("client sent %s to %s %.0f ms ago; answer %s", s.id, s.edge.name, time.Since(s.at).Seconds()*1000, s.answer)
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
--- a/review/standins/revoked.go
+++ b/review/standins/revoked.go
@@ -58,6 +58,7 @@
 				mu.Lock()
 				answers[a.Status]++
 				mu.Unlock()
+				d.record.Print("client sent %s with key-b %.0f ms ago; answer %s", id, time.Since(at).Seconds()*1000, a)
 				time.Sleep(clientPause)
 			}
 		})
