--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -14,7 +14,7 @@
 	const reclaimTime = 2500 * time.Millisecond
 	zones := []string{"cuenca-norte", "cuenca-sur", "gualaceo"}
 	for i, zone := range zones {
-		r := &Replica{ID: fmt.Sprintf("i-pedidos%d", i+1), Service: "pedidos", Zone: zone, Capacity: 6, Work: 60 * time.Millisecond}
+		r := &Replica{ID: fmt.Sprintf("i-pedidos%d", i+1), Service: "pedidos", Zone: zone, Capacity: 6, Work: 110 * time.Millisecond}
 		r.Start(d)
 		defer r.Crash()
 		replicas = append(replicas, r)
@@ -43,8 +43,9 @@
 	firstLeaving := map[*Edge]time.Time{}
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
-	for c := range 18 {
+	for c := range 24 {
 		wg.Go(func() {
+			time.Sleep(time.Duration(c) * 9 * time.Millisecond)
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
