--- a/cmd/crocus-edge/main.go
+++ b/cmd/crocus-edge/main.go
@@ -58,8 +58,9 @@
 	}
 	net := network.Network{}
 	client := &http.Client{Transport: net.Transport()}
+	store := &platform.MetadataStore{Address: cfg.MetadataStore, Client: client}
 	adapter := edge.Platform{
-		Log:     &platform.MetadataStore{Address: cfg.MetadataStore, Client: client},
+		Log: store, Origins: &platform.Journal{Store: store, Topic: platform.OriginsTopic},
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
 		Control: platform.Control{Client: client}, ReadyPath: platform.ReadyPath,
 	}
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -68,6 +68,20 @@
 	Leave(ctx context.Context, member string) error
 }
 
+// Journal is a topic of the instances' own, whose partitions keep all records for some
+// minutes. Offsets have no gaps.
+type Journal interface {
+	// Append appends a record to a partition, which is created on first use.
+	Append(ctx context.Context, part int, value []byte) error
+	// Extent returns the position of the first record that a partition retains, and that
+	// after its last one.
+	Extent(ctx context.Context, part int) (first, end topicview.Position, err error)
+	// Read returns records of a partition from a position on, the position after them, and
+	// that after the last record of the partition. It returns ErrOffsetExpired if the
+	// partition no longer retains the first of them or is in another era.
+	Read(ctx context.Context, part int, from topicview.Position) (values [][]byte, next, end topicview.Position, err error)
+}
+
 // Intent is the configuration that the operators want.
 type Intent struct {
 	Table *route.Table
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -33,6 +33,7 @@
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/gossip"
 	"crocusfold.dev/entry/leader"
+	"crocusfold.dev/entry/originlog"
 	"crocusfold.dev/entry/peerrpc"
 	"crocusfold.dev/entry/relay"
 	"crocusfold.dev/entry/replicalimits"
@@ -78,10 +79,12 @@
 	metricsPath = "/metrics"
 )
 
-// Platform has the adapters to the platform that the instance runs on, and the path of
-// the readiness check that its load balancer uses.
+// Platform has the adapters to the platform that the instance runs on: its log, the topic of
+// the log in which the instances keep the origins of streams, and so on; and the path of the
+// readiness check that its load balancer uses.
 type Platform struct {
 	Log       adapter.Log
+	Origins   adapter.Journal
 	Decoder   adapter.Decoder
 	Dialect   adapter.Dialect
 	Control   adapter.Control
@@ -160,6 +163,7 @@
 		Self: self, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas, Decoder: platform.Decoder, Bounds: &e.bounds,
 		Now: now, Logger: part("streams"),
 		Connected: func(now time.Time) bool { _, connected := e.gossip.Rank(now); return connected },
+		OriginLog: &originlog.OriginLog{Name: cfg.Name, Journal: countingJournal{platform.Origins, scope}, Rates: cfg.LogRates, Now: now},
 	}
 	e.gossip.Streams, e.replicas.OnChange, e.topics.OnListLoaded = e.streams, e.streams.ReplicaChanged, e.streams.ListLoaded
 	e.topics.OnRestore = e.writeAgain
@@ -179,7 +183,7 @@
 	e.gossip.OnLimitGroup = func(g limitgroup.Group, granting grantors.Grantors) {
 		e.replicas.SetLimitGroup(g)
 		e.limits.SetGrantors(now(), granting)
-		e.streams.SetOwners(granting)
+		e.streams.SetOwners(granting, g.Size())
 		e.retryBudgets.SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
@@ -329,6 +333,7 @@
 	default:
 	}
 	e.crashes.WriteAgain()
+	e.streams.WriteAgain()
 }
 
 // announce writes this instance's record to the topic of instances, now and whenever it may
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -19,11 +19,15 @@
 }
 
 func (l countingLog) count(call string, topic adapter.Topic, err error) {
+	countCall(l.scope, call, topic.String(), err)
+}
+
+func countCall(scope tally.Scope, call, topic string, err error) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	l.scope.Tagged(map[string]string{"call": call, "topic": topic.String(), "result": result}).Counter("log_calls").Inc(1)
+	scope.Tagged(map[string]string{"call": call, "topic": topic, "result": result}).Counter("log_calls").Inc(1)
 }
 
 // Newest forwards the call and counts its result.
@@ -60,3 +64,30 @@
 	l.count("leave", adapter.Instances, err)
 	return err
 }
+
+// countingJournal counts the calls of a journal in the same way.
+type countingJournal struct {
+	adapter.Journal
+	scope tally.Scope
+}
+
+// Append forwards the call and counts its result.
+func (j countingJournal) Append(ctx context.Context, part int, value []byte) error {
+	err := j.Journal.Append(ctx, part, value)
+	countCall(j.scope, "put", "origins", err)
+	return err
+}
+
+// Extent forwards the call and counts its result.
+func (j countingJournal) Extent(ctx context.Context, part int) (first, end topicview.Position, err error) {
+	first, end, err = j.Journal.Extent(ctx, part)
+	countCall(j.scope, "extent", "origins", err)
+	return first, end, err
+}
+
+// Read forwards the call and counts its result.
+func (j countingJournal) Read(ctx context.Context, part int, from topicview.Position) (values [][]byte, next, end topicview.Position, err error) {
+	values, next, end, err = j.Journal.Read(ctx, part, from)
+	countCall(j.scope, "read", "origins", err)
+	return values, next, end, err
+}
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"crocusfold.dev/core/writeshare"
 )
 
 // Bounds are the guaranteed bounds of the system, as the settings state them.
@@ -47,8 +49,10 @@
 	// readiness checks, and on Peers for other instances.
 	Front, Ready, Peers netip.AddrPort
 	// Seeds are addresses of other instances, which may be stale.
-	Seeds  []netip.AddrPort
-	Bounds Bounds
+	Seeds []netip.AddrPort
+	// LogRates is what the platform's log takes from all instances together.
+	LogRates writeshare.Rates
+	Bounds   Bounds
 }
 
 // LiveBounds holds the bounds in force, which change when the settings are reloaded. All
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -3,8 +3,9 @@
 //
 // Each instance keeps the origins of the streams that it began. While several versions serve,
 // it sends them to a few other instances, chosen by rendezvous hashing, so that they outlive
-// it. A stream of which no origin is found began at the only version that served lately, or
-// its origin is not known.
+// it, and writes them to the platform's log, so that they outlive all instances. A stream of
+// which no origin is found began at the only version that served lately, or its origin is not
+// known.
 package streams
 
 import (
@@ -16,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/backlog"
 	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/roster"
@@ -25,6 +27,7 @@
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/message"
+	"crocusfold.dev/entry/originlog"
 	"crocusfold.dev/entry/peerrpc"
 	"crocusfold.dev/entry/replicas"
 	"crocusfold.dev/entry/topics"
@@ -43,8 +46,14 @@
 	callTimeout = 150 * time.Millisecond
 	// defaultTimeout is the longest time of a stream if a route sets none.
 	defaultTimeout = 30 * time.Second
-	// maxUnsent bounds the origins that wait to be sent.
-	maxUnsent = 1 << 14
+	// maxRecent bounds the own origins that are kept to be sent and written.
+	maxRecent = 1 << 14
+)
+
+// The receivers of the own origins.
+const (
+	toOwners = iota
+	toLog
 )
 
 // Source is how the origin of a stream was found out, for the log and the metrics.
@@ -58,6 +67,8 @@
 	OnlyVersion Source = "only-version"
 	// Peer means that another instance knows the origin.
 	Peer Source = "peer"
+	// Log means that the origin was read from the platform's log.
+	Log Source = "log"
 	// Unknown means that the origin could not be found out.
 	Unknown Source = "unknown"
 )
@@ -75,13 +86,17 @@
 	Logger   log.Logger
 	// Connected reports whether this instance is connected to a majority of the instances.
 	Connected func(now time.Time) bool
+	// OriginLog keeps origins on the platform's log.
+	OriginLog *originlog.OriginLog
 
 	mu      sync.Mutex
 	origins streamorigin.Origins
 	history softwareversion.History
 	owners  grantors.Grantors
-	// unsent has the own streams that were not sent to their owners yet.
-	unsent []message.StreamOrigin
+	// instances is the number of instances.
+	instances int
+	// recent has the own streams that may still run.
+	recent backlog.Backlog[message.StreamOrigin]
 	// observedAt is when the versions that serve were last observed.
 	observedAt time.Time
 	// mixed is true while several versions of a service served lately.
@@ -91,6 +106,7 @@
 // Attach registers the handler for the messages of peers. It must be called before the
 // endpoint serves.
 func (s *Streams) Attach() {
+	s.OriginLog.Merge = func(origins []message.StreamOrigin) { s.merge(s.Now(), origins) }
 	s.Endpoint.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		switch m := msg.(type) {
 		case message.StreamOrigins:
@@ -107,15 +123,28 @@
 	})
 }
 
-// SetOwners sets the instances among which the owners of streams are chosen.
-func (s *Streams) SetOwners(g grantors.Grantors) {
+// SetOwners sets the instances among which the owners of streams are chosen, and the number
+// of all instances.
+func (s *Streams) SetOwners(g grantors.Grantors, instances int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.owners = g
+	s.owners, s.instances = g, instances
 }
 
-// Run observes the versions that serve and sends origins to their owners, until ctx ends.
+// WriteAgain makes the origins of streams that may still run be written to the log again,
+// since it may have lost them.
+func (s *Streams) WriteAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recent.Lost(toLog)
+}
+
+// Run observes the versions that serve, sends origins to their owners and writes them to the
+// log, until ctx ends.
 func (s *Streams) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { s.writeOrigins(ctx) })
 	clock.Every(ctx, sendInterval, func() {
 		now := s.Now()
 		s.mu.Lock()
@@ -212,10 +241,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.origins.Add(now, s.window(), origin.Request, streamorigin.Origin{Service: service, Version: version, At: now})
-	if len(s.unsent) >= maxUnsent {
-		s.unsent = append(s.unsent[:0], s.unsent[maxUnsent/2:]...)
-	}
-	s.unsent = append(s.unsent, origin)
+	s.recent.Add(now, maxRecent, origin)
 }
 
 // merge adds origins that a peer has sent.
@@ -233,18 +259,18 @@
 func (s *Streams) send(ctx context.Context) {
 	now, window := s.Now(), s.window()
 	s.mu.Lock()
-	unsent := s.unsent
+	s.recent.Expire(now.Add(-window))
 	if !s.mixed {
-		s.unsent = s.dropEnded(now, window, unsent)
 		s.mu.Unlock()
 		return
 	}
-	s.unsent = nil
-	owners := s.owners
+	unsent, next := s.recent.Missing(toOwners, maxRecent)
+	s.recent.Received(toOwners, next)
+	g := s.owners
 	s.mu.Unlock()
 	byOwner := map[netip.AddrPort][]message.StreamOrigin{}
 	for _, o := range unsent {
-		for _, owner := range ownersOf(owners, o.Request) {
+		for _, owner := range ownersOf(g, o.Request) {
 			if owner != s.Self.Address {
 				byOwner[owner] = append(byOwner[owner], o)
 			}
@@ -261,17 +287,35 @@
 	}
 }
 
-// dropEnded drops the origins at the front of the list whose streams can't run any more. The
-// caller holds the lock.
-func (s *Streams) dropEnded(now time.Time, window time.Duration, unsent []message.StreamOrigin) []message.StreamOrigin {
-	for len(unsent) > 0 {
-		o, ok := s.origins.Lookup(unsent[0].Request)
-		if ok && now.Sub(o.At) < window {
-			break
+// writeOrigins writes new origins to the log while several versions serve, until ctx ends.
+func (s *Streams) writeOrigins(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		interval := s.OriginLog.Rates.Interval(max(1, s.instances))
+		s.mu.Unlock()
+		clock.Pause(ctx, interval)
+		s.mu.Lock()
+		var unwritten []message.StreamOrigin
+		var next uint64
+		if s.mixed {
+			unwritten, next = s.recent.Missing(toLog, originlog.MaxBatch)
+		}
+		s.mu.Unlock()
+		if len(unwritten) == 0 {
+			continue
+		}
+		err := s.OriginLog.Write(ctx, unwritten)
+		if err == nil {
+			s.mu.Lock()
+			s.recent.Received(toLog, next)
+			s.mu.Unlock()
+		}
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			_ = s.Logger.Log("msg", "Writing the origins of streams to the log failed or works again.", "fails", failing, "streams", len(unwritten), "err", err)
 		}
-		unsent = unsent[1:]
 	}
-	return unsent
 }
 
 // ownersOf returns the instances that keep the origin of a stream.
@@ -299,7 +343,7 @@
 	origin, own := s.origins.Lookup(digest)
 	version, only := s.history.Only(service, now.Add(-window))
 	only = only && sees && now.Sub(s.observedAt) <= maxObserveGap
-	owners := ownersOf(s.owners, digest)
+	g, instances := s.owners, s.instances
 	s.mu.Unlock()
 	switch {
 	case own && request != "":
@@ -309,9 +353,17 @@
 	case request == "":
 		return streamorigin.Origin{}, Unknown
 	}
-	if origin, ok := s.ask(ctx, owners, digest); ok {
+	if origin, ok := s.ask(ctx, ownersOf(g, digest), digest); ok {
 		return origin, Peer
 	}
+	if err := s.OriginLog.Read(ctx, now, window, max(1, instances)); err != nil && ctx.Err() == nil {
+		_ = s.Logger.Log("msg", "Reading the origins of streams from the log failed.", "request", request, "err", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if origin, ok := s.origins.Lookup(digest); ok {
+		return origin, Log
+	}
 	return streamorigin.Origin{}, Unknown
 }
 
