--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"crocusfold.dev/core/departures"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/statedlimit"
 )
@@ -22,7 +23,8 @@
 	Address    netip.AddrPort
 	DataCentre string
 	// Slots is the number of requests that the replica runs at once.
-	Slots    int
+	Slots int
+	// Draining is true if the replica leaves, by its entry or by its own responses.
 	Draining bool
 	// ColdUntil is when the replica is warm and can take its full load; zero if it
 	// can now.
@@ -134,7 +136,8 @@
 	// Request.ColdRate plus ColdSlack requests per second.
 	ColdOvershoot, ColdSlack float64
 
-	replicas map[string]*replica
+	replicas   map[string]*replica
+	departures departures.Departures
 	// medianDelays caches the median delay of each service.
 	medianDelays map[string]delayMedian
 	// eligible and avoided are buffers that Choose reuses.
@@ -142,15 +145,17 @@
 }
 
 // Set adds a replica or updates its entry, and cancels a removal that is due later.
-// A new incarnation starts without load and failures.
-func (p *Pool) Set(r Replica) {
+// A new incarnation starts without load and failures. It returns the replica as it is
+// known now: what an incarnation stated in its responses has precedence over its entry.
+func (p *Pool) Set(r Replica) Replica {
+	r.Draining = r.Draining || p.departures.Leaving(r.ID, r.Incarnation)
 	if p.replicas == nil {
 		p.replicas = map[string]*replica{}
 	}
 	old, ok := p.replicas[r.ID]
 	if !ok || old.Incarnation != r.Incarnation {
 		p.replicas[r.ID] = &replica{Replica: r, hash: xxhash.Sum64String(r.ID), peers: map[string]peerLoad{}}
-		return
+		return r
 	}
 	// A version observed in a response may be newer than the list, which lags.
 	for model, v := range old.Versions {
@@ -159,6 +164,32 @@
 		}
 	}
 	old.Replica, old.removeAt = r, time.Time{}
+	return r
+}
+
+// ObserveLeaving records that an incarnation of a replica has stated that it leaves, so that
+// it gets no new requests whatever its entry says. It reports whether that is new.
+func (p *Pool) ObserveLeaving(now time.Time, id string, incarnation int64) bool {
+	if !p.departures.Record(now, id, incarnation) {
+		return false
+	}
+	if r, ok := p.replicas[id]; ok && r.Incarnation == incarnation {
+		r.Draining = true
+	}
+	return true
+}
+
+// LeavingSince returns the replicas of which ObserveLeaving recorded at a time or later that
+// they leave.
+func (p *Pool) LeavingSince(since time.Time) []departures.Departure {
+	return p.departures.RecordedSince(since)
+}
+
+// Leaving reports whether an incarnation of a replica is draining or has stated that it
+// leaves.
+func (p *Pool) Leaving(id string, incarnation int64) bool {
+	r, ok := p.replicas[id]
+	return ok && r.Incarnation == incarnation && r.Draining || p.departures.Leaving(id, incarnation)
 }
 
 // Remove removes a replica at a given time. A time in the future, for a replica that
@@ -184,6 +215,7 @@
 			removed = append(removed, r.Replica)
 		}
 	}
+	p.departures.Sweep(now, func(id string) bool { return p.replicas[id] != nil })
 	return removed
 }
 
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -198,6 +198,8 @@
 	// states something that is no limit.
 	Limit                  float64
 	HasLimit, LimitInvalid bool
+	// Leaving is true if the replica states that it leaves.
+	Leaving bool
 	// KeepAlive is how long the connection may stay idle; 0 if not stated.
 	KeepAlive time.Duration
 }
@@ -264,6 +266,8 @@
 	Seq int
 	// Running is the number of requests that the replica runs.
 	Running int
+	// Leaving is true if the replica states that it leaves. It is valid with an error too.
+	Leaving bool
 }
 
 // StoreEvents are changes of a store's contents.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -209,6 +209,7 @@
 	root := scope.Gauge("overlay_root")
 	aliveMembers := scope.Gauge("overlay_living")
 	limitsInForce := scope.Gauge("limits_in_force")
+	leaving := scope.Gauge("replicas_leaving")
 	blockedParts := scope.Gauge("parts_blocked")
 	e.updateGauges = func(now time.Time) {
 		if age, ok := e.topics.ProofAge(now); ok {
@@ -219,6 +220,7 @@
 		aliveMembers.Update(float64(alive))
 		isLeader.Update(gaugeValue(e.leader.IsLeader(now)))
 		e.replicas.WithPool(func(p *pool.Pool) { limitsInForce.Update(float64(p.CountLimited())) })
+		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(len(p.LeavingSince(time.Time{})))) })
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
 		for service, left := range e.retryBudgets.Left() {
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -100,6 +100,7 @@
 		g.Replicas.MarkReloading(sentAt, m.LeaderStatus.Drained)
 	}
 	urgent = g.Replicas.MergeLimits(now, m.Name, delay, m.Limits) || urgent || changed
+	urgent = g.Replicas.MergeLeaving(now, m.Name, delay, m.Leaving) || urgent
 	if g.Crashes.MergeGossip(now, m) || urgent {
 		g.NotifyPeers()
 	}
--- a/entry/leader/reload.go
+++ b/entry/leader/reload.go
@@ -112,8 +112,7 @@
 // load commands a replica to load a version and polls it until it has. It sends no
 // command if the replica already reports the version or can't be reached.
 func (l *Leader) load(ctx context.Context, r pool.Replica, model string, a reload.Load) {
-	l.charge(ctx, r)
-	report, err := l.Control.Report(ctx, r.Address)
+	report, err := l.report(ctx, r)
 	if err == nil && report.Versions[model] >= a.Version {
 		l.recordLoaded(r.ID, model, report.Versions[model])
 		return
@@ -142,8 +141,7 @@
 	startedAt := l.Now()
 	for ctx.Err() == nil && l.Now().Sub(startedAt) < loadTimeout {
 		clock.Pause(ctx, l.reportPause(r))
-		l.charge(ctx, r)
-		report, err := l.Control.Report(ctx, r.Address)
+		report, err := l.report(ctx, r)
 		if err != nil {
 			continue
 		}
@@ -154,6 +152,16 @@
 	}
 }
 
+// report requests the state of a replica.
+func (l *Leader) report(ctx context.Context, r pool.Replica) (adapter.Report, error) {
+	l.charge(ctx, r)
+	report, err := l.Control.Report(ctx, r.Address)
+	if report.Leaving && l.Replicas.ObserveLeaving(l.Now(), r) {
+		l.NotifyPeers()
+	}
+	return report, err
+}
+
 // charge counts a call to a replica against the limit that the replica states.
 func (l *Leader) charge(ctx context.Context, r pool.Replica) {
 	if l.Limits != nil {
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -52,6 +52,18 @@
 	// it knows them for no time.
 	SoftwareVersions []ServedVersion `cbor:"45,keyasint,omitempty"`
 	VersionsCovered  time.Duration   `cbor:"46,keyasint,omitempty"`
+	// Leaving has the replicas that stated that they leave, as far as the receiver has not
+	// acknowledged them.
+	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
+}
+
+// LeavingReplica is an incarnation of a replica that leaves. Age is how long the sender has
+// known that.
+type LeavingReplica struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+	Age         time.Duration
 }
 
 // ServedVersion is a software version of a service, and the time since it was last seen to
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -41,7 +41,7 @@
 	// for a grant before it waits for placementInterval.
 	maxGrantRequests = 4
 	// maxUngranted bounds how often one request is placed again because a replica stated a
-	// limit before the request was sent.
+	// limit, or that it leaves, before the request was sent.
 	maxUngranted = 3
 )
 
@@ -61,7 +61,7 @@
 	errWrongRequest = errors.New("the response belongs to another request")
 	errServerError  = errors.New("the replica responded with a server error")
 	errUnproven     = errors.New("the response refuses a request, but not provably this one")
-	errNotGranted   = errors.New("the replica has stated a limit, and the request was not granted within it")
+	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, or has stated a limit within which the request was not granted")
 )
 
 // failureName returns the label of a failure in the metrics.
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -106,10 +106,13 @@
 	rs.pool.Begin(p.ID, p.Load)
 }
 
-// MaySend reports whether a placed request may still be sent: it must have been granted
-// within grantTTL if its replica states a limit now, and a request for a software version
-// must find it there.
+// MaySend reports whether a placed request may still be sent: its replica must not have
+// stated meanwhile that it leaves, the request must have been granted within grantTTL if the
+// replica states a limit now, and a request for a software version must find it there.
 func (rs *Replicas) MaySend(now time.Time, p *Placement) bool {
+	if rs.leaving(p.Replica) {
+		return false
+	}
 	if p.request.Software != "" && !rs.runs(p.Replica, p.request.Software) {
 		return false
 	}
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		old, known := rs.pool.Replica(r.ID)
-		rs.pool.Set(r)
+		r = rs.pool.Set(r)
 		if known {
 			rs.reportChange(now, old)
 		}
