--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -48,16 +48,27 @@
 	return "unknown"
 }
 
+// Page is the result of a read. It may have only the first of the records that were to be
+// read.
+type Page struct {
+	Records []topicview.Record
+	// Next is the position after the records, and End that after the last record of the
+	// topic as of the read.
+	Next, End topicview.Position
+}
+
+// Complete reports whether the page has all records up to the end of the topic.
+func (p Page) Complete() bool { return !p.Next.Before(p.End) }
+
 // Log is the platform's log. Its topics are ordered by offset.
 type Log interface {
 	// Newest returns the newest record of each key, and the position from which Read
 	// returns the changes since.
 	Newest(ctx context.Context, t Topic) ([]topicview.Record, topicview.Position, error)
-	// Read returns the records from a position on, and the position after them. If
-	// there are none yet, it waits for one for up to wait. It returns
-	// ErrOffsetExpired if the log no longer retains the first of them or is in
-	// another era; the position has the log's era then.
-	Read(ctx context.Context, t Topic, from topicview.Position, wait time.Duration) ([]topicview.Record, topicview.Position, error)
+	// Read returns records from a position on. If there are none yet, it waits for one
+	// for up to wait. It returns ErrOffsetExpired if the log no longer retains the first
+	// of them or is in another era; the positions have the log's era then.
+	Read(ctx context.Context, t Topic, from topicview.Position, wait time.Duration) (Page, error)
 	// Put appends a record to the topic Instances, where it replaces the earlier one of
 	// its key.
 	Put(ctx context.Context, key string, value []byte) error
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -38,10 +38,10 @@
 }
 
 // Read forwards the call and counts its result.
-func (l countingLog) Read(ctx context.Context, t adapter.Topic, from topicview.Position, wait time.Duration) ([]topicview.Record, topicview.Position, error) {
-	records, next, err := l.Log.Read(ctx, t, from, wait)
+func (l countingLog) Read(ctx context.Context, t adapter.Topic, from topicview.Position, wait time.Duration) (adapter.Page, error) {
+	page, err := l.Log.Read(ctx, t, from, wait)
 	l.count("read", t, err)
-	return records, next, err
+	return page, err
 }
 
 // Put forwards the call and counts its result.
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -59,6 +59,8 @@
 	initialBackoff   = 60 * time.Millisecond
 	maxReaderBackoff = 600 * time.Millisecond
 	maxBackoff       = 1200 * time.Millisecond
+	// maxPages bounds the responses of a read that is not over, before it pauses.
+	maxPages = 64
 	// minOutage is the time between two proofs of the list of replicas, with a failed
 	// read in between, from which entries may have expired although their replicas are
 	// alive.
@@ -68,8 +70,13 @@
 	rewriteTime = 2200 * time.Millisecond
 )
 
-// errOutdated means that a list of all records ends before the records that are known.
-var errOutdated = errors.New("the list of records is outdated")
+// Errors of reads that bring no complete view.
+var (
+	// errOutdated means that a list of all records ends before the records that are known.
+	errOutdated = errors.New("the list of records is outdated")
+	// errIncomplete means that the topic has more records than were read.
+	errIncomplete = errors.New("the topic goes on")
+)
 
 const topicCount = 3
 
@@ -183,7 +190,7 @@
 	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
-// readOnce reads a topic once, if shouldRead says so, and reports whether it did.
+// readOnce reads a topic up to its end, if shouldRead says so, and reports whether it did.
 func (t *Topics) readOnce(ctx context.Context, topic adapter.Topic) (read bool, err error) {
 	sent := t.Now()
 	read, wait := t.shouldRead(sent, topic)
@@ -196,20 +203,35 @@
 	if !loaded {
 		return true, t.load(ctx, topic, sent)
 	}
-	records, end, err := t.Log.Read(ctx, topic, next, wait)
-	if errors.Is(err, adapter.ErrOffsetExpired) {
-		_ = t.Logger.Log("msg", "The records to read have expired or are of another era.", "topic", topic, "era", end.Era, "next-era", next.Era, "next", next.Offset)
-		return true, t.load(ctx, topic, sent)
-	}
-	if err != nil {
-		return true, err
-	}
-	t.applyChange(topic, sent, end, func(view *topicview.View) []topicview.Record { return view.Apply(records, end) })
-	t.recordReadResult(topic, nil)
-	if next.Before(end) {
-		t.OnAdvance()
+	for pages := 1; ; pages++ {
+		page, err := t.Log.Read(ctx, topic, next, wait)
+		if errors.Is(err, adapter.ErrOffsetExpired) {
+			_ = t.Logger.Log("msg", "The records to read have expired or are of another era.", "topic", topic, "era", page.Next.Era, "next-era", next.Era, "next", next.Offset)
+			return true, t.load(ctx, topic, sent)
+		}
+		if err != nil {
+			return true, err
+		}
+		// Records that follow may change what these say, so that only a view that has
+		// reached the end is proven.
+		proven := sent
+		if !page.Complete() {
+			proven = time.Time{}
+		}
+		t.applyChange(topic, proven, page.Next, func(view *topicview.View) []topicview.Record { return view.Apply(page.Records, page.Next) })
+		advanced := next.Before(page.Next)
+		if advanced {
+			t.OnAdvance()
+		}
+		if page.Complete() {
+			t.recordReadResult(topic, nil)
+			return true, nil
+		}
+		if !advanced || pages >= maxPages {
+			return true, fmt.Errorf("read up to offset %d of %d in %d pages: %w", page.Next.Offset, page.End.Offset, pages, errIncomplete)
+		}
+		sent, next = t.Now(), page.Next
 	}
-	return true, nil
 }
 
 // ReachesLog reports whether this instance itself reaches the platform's log: its last
@@ -263,11 +285,11 @@
 	}
 	var all []topicview.Record
 	for next := (topicview.Position{Era: end.Era}); next.Before(end); {
-		records, read, err := t.Log.Read(ctx, topic, next, 0)
-		if err != nil || !next.Before(read) {
+		page, err := t.Log.Read(ctx, topic, next, 0)
+		if err != nil || !next.Before(page.Next) {
 			return nil, false
 		}
-		all, next = append(all, records...), read
+		all, next = append(all, page.Records...), page.Next
 	}
 	return all, true
 }
@@ -278,9 +300,9 @@
 	return t.views[topic].Loaded()
 }
 
-// applyChange changes a view by calling change, after which it is complete up to the
-// position end as of the time proven, and passes the records that changed to the callback
-// of the topic.
+// applyChange changes a view by calling change, after which it has all records up to the
+// position end, and passes the records that changed to the callback of the topic. The topic
+// had no others as of the time proven, which is zero if that is not known.
 func (t *Topics) applyChange(topic adapter.Topic, proven time.Time, end topicview.Position, change func(*topicview.View) []topicview.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -293,7 +315,7 @@
 	if topic == adapter.Replicas && view.Loaded() && !loaded {
 		t.OnListLoaded(now, nil, false)
 	}
-	if topic == adapter.Replicas {
+	if topic == adapter.Replicas && !proven.IsZero() {
 		if t.replicasReadFailed && !before.IsZero() && proven.Sub(before) > minOutage {
 			t.recoveredAt = now
 		}
