--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -212,7 +212,7 @@
 	leaving := scope.Gauge("replicas_leaving")
 	blockedParts := scope.Gauge("parts_blocked")
 	e.updateGauges = func(now time.Time) {
-		if age, ok := e.topics.ProofAge(now); ok {
+		if age, ok := e.topics.Proven().Age(now); ok {
 			proofAge.Update(age.Seconds())
 		}
 		place, alive := e.gossip.OverlayState()
@@ -400,8 +400,9 @@
 // configuration is current.
 func (e *Edge) handleReady(w http.ResponseWriter, _ *http.Request) {
 	maxAge := time.Duration(readyProofAgeShare * float64(e.bounds.Bounds().Revoke))
-	age, proven := e.topics.ProofAge(e.now())
-	if e.leaving.Load() || e.topics.Intent() == nil || !proven || age > maxAge {
+	proven := e.topics.Proven()
+	age, ok := proven.Age(e.now())
+	if e.leaving.Load() || proven.Intent == nil || !ok || age > maxAge {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -247,7 +247,8 @@
 // It returns a refusal if the request may not run.
 func (c *call) admit() *refusal {
 	rl := c.relay
-	c.intent = rl.Topics.Intent()
+	proven := rl.Topics.Proven()
+	c.intent = proven.Intent
 	c.info = rl.Dialect.ParseRequest(c.r.Header)
 	if c.intent == nil {
 		return notRun("no-configuration", time.Second)
@@ -255,12 +256,12 @@
 	table := c.intent.Table
 	var ok bool
 	if c.route, ok = table.Match(c.r.Host, c.r.URL.Path); !ok {
-		if !rl.Topics.Complete() {
+		if !proven.Complete {
 			return notRun("configuration-not-proven", time.Second)
 		}
 		return &refusal{status: http.StatusNotFound, code: "route-unknown"}
 	}
-	if ref := c.identify(table); ref != nil {
+	if ref := c.identify(proven); ref != nil {
 		return ref
 	}
 	if ref := c.readBody(table); ref != nil {
@@ -295,8 +296,9 @@
 // identify looks up the account of the API key. The key may have been revoked since
 // the configuration was last proven current, so requests are refused if the proof is
 // older than the time for which revoked keys may be served, less revocationMargin.
-func (c *call) identify(table *route.Table) *refusal {
-	age, proven := c.relay.Topics.ProofAge(c.began)
+func (c *call) identify(proven *topics.Proven) *refusal {
+	table := proven.Intent.Table
+	age, ok := proven.Age(c.began)
 	c.summary.proofAge = age
 	if !table.HasAccounts {
 		return nil
@@ -305,7 +307,7 @@
 	if c.route.Public {
 		return nil
 	}
-	if !proven || age > c.relay.Bounds.Bounds().Revoke-revocationMargin {
+	if !ok || age > c.relay.Bounds.Bounds().Revoke-revocationMargin {
 		return notRun("configuration-not-proven", time.Second)
 	}
 	if !known {
--- a/entry/topics/peers.go
+++ b/entry/topics/peers.go
@@ -85,6 +85,7 @@
 	isReader := t.IsReader(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.publish()
 	var gaps []Gap
 	for i, topic := range []adapter.Topic{adapter.Operations, adapter.Replicas} {
 		if i >= len(views) || views[i].ProofAge < 0 {
--- a/entry/topics/restore.go
+++ b/entry/topics/restore.go
@@ -100,6 +100,7 @@
 func (t *Topics) releaseHeld(topic adapter.Topic) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.publish()
 	view := &t.views[topic]
 	if !view.Holds() {
 		return
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -116,9 +116,13 @@
 	// wrote may be lost.
 	OnRestore func()
 
-	mu     sync.Mutex
-	views  [topicCount]topicview.View
-	intent atomic.Pointer[adapter.Intent]
+	mu    sync.Mutex
+	views [topicCount]topicview.View
+	// intent is the intent in force, nil before there is one.
+	intent *adapter.Intent
+	// proven is what callers of Proven get. It is published before the lock is released
+	// after a change of views or restore.
+	proven atomic.Pointer[Proven]
 	// recoveredAt is when an instance first read the list of replicas after the latest
 	// outage. replicasReadFailed is true from a failed read of that list until it is
 	// next read or updated from a peer's records.
@@ -133,7 +137,7 @@
 }
 
 // Intent returns the intent in force, or nil if there is none yet.
-func (t *Topics) Intent() *adapter.Intent { return t.intent.Load() }
+func (t *Topics) Intent() *adapter.Intent { return t.Proven().Intent }
 
 // Run maintains the views of all topics until ctx ends.
 func (t *Topics) Run(ctx context.Context) {
@@ -306,6 +310,7 @@
 func (t *Topics) applyChange(topic adapter.Topic, proven time.Time, end topicview.Position, change func(*topicview.View) []topicview.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.publish()
 	now := t.Now()
 	t.observeEra(now, end.Era, 0)
 	view := &t.views[topic]
@@ -358,25 +363,15 @@
 		_ = t.Logger.Log("msg", "Decoding the operators' records failed; the previous intent stays in force.", "era", view.Next().Era, "next", view.Next().Offset, "err", err)
 		return
 	}
-	if old := t.intent.Load(); old != nil && in.Table.Version < old.Table.Version {
+	if old := t.intent; old != nil && in.Table.Version < old.Table.Version {
 		_ = t.Logger.Log("msg", "Ignored an older configuration.", "version", in.Table.Version, "in-force", old.Table.Version)
 		in.Table = old.Table
 	}
-	t.intent.Store(&in)
+	t.intent = &in
 	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "era", view.Next().Era, "next", view.Next().Offset, "closed", len(in.ClosedDataCentres))
 	t.OnIntent(&in)
 }
 
-// ProofAge returns the age of the proof that the view of the operators' records is
-// complete; ok is false if there is none. After a restore of the log, it is that of the
-// last proof before until the operators have had the time to write again.
-func (t *Topics) ProofAge(now time.Time) (age time.Duration, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	proof := t.restore.operationsProof(t.views[adapter.Operations].Proof())
-	return now.Sub(proof), !proof.IsZero()
-}
-
 // ReplicasProofAge returns the age of the proof that the list of replicas is complete; ok is
 // false if there is none.
 func (t *Topics) ReplicasProofAge(now time.Time) (age time.Duration, ok bool) {
@@ -385,12 +380,3 @@
 	proof := t.views[adapter.Replicas].Proof()
 	return now.Sub(proof), !proof.IsZero()
 }
-
-// Complete reports whether the view of the operators' records was complete at some time
-// after the latest restore of the log. Before that, records that were confirmed may be
-// missing.
-func (t *Topics) Complete() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.restore.covers(t.views[adapter.Operations].Proof())
-}
