Publish a view before the assessment that it is current, in the product's own interface (CONFIG)

A request that came in between was admitted by the previous view, whose keys or accounts may have been taken away.

Change: the assessment is renewed after the view was replaced.

Test: TestViewIsPublishedBeforeItsAssessment failed before (no view at the moment at which the status became current), passes now. No caller's report shows this one; the window is the time that indexing a configuration takes.

--- a/entry/configsync/configsync.go
+++ b/entry/configsync/configsync.go
@@ -265,8 +265,8 @@
 	}
 }
 
-// publish wakes those that wait for published, renews the assessment, and replaces the
-// view if a change took effect. It does nothing while the ledger is incomplete. The
+// publish wakes those that wait for published, replaces the view if a change took effect,
+// and renews the assessment. It does nothing while the ledger is incomplete. The
 // caller holds mu.
 func (f *Follower) publish() {
 	if !f.ledger.Ready() {
@@ -274,7 +274,9 @@
 	}
 	close(f.published)
 	f.published = make(chan struct{})
-	f.evaluate(time.Now())
+	// The assessment is of the ledger. Published before the view, it would admit requests
+	// by the previous one.
+	defer func() { f.evaluate(time.Now()) }()
 	old := f.view.Load()
 	next := f.ledger.Next()
 	if next == 0 || (old != nil && next <= old.Offset) {
