Retry no request in a data centre that was closed after it arrived (EVAC)

An attempt that is repeated after an evacuation went to the evacuated zone, since a request kept the closed data centres of its arrival.

Change: each placement uses those of the intent in force.

--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -240,8 +240,10 @@
 // placementRequest returns what the choice of a replica depends on.
 func (c *call) placementRequest() replicas.PlacementRequest {
 	req := replicas.PlacementRequest{Request: pool.Request{
-		Service: c.service.Name, ColdRate: c.service.ColdRate, ClosedDataCentres: c.intent.ClosedDataCentres, Tried: c.attemptedReplicas,
-		Software: c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
+		Service: c.service.Name, ColdRate: c.service.ColdRate, Tried: c.attemptedReplicas,
+		// A data centre may have been closed since the request arrived.
+		ClosedDataCentres: c.relay.Topics.Intent().ClosedDataCentres,
+		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
