--- a/entry/originlog/originlog.go
+++ b/entry/originlog/originlog.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,7 +15,7 @@
 	"crocusfold.dev/core/writeshare"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/message"
-	"crocusfold.dev/shell/clock"
+	"crocusfold.dev/entry/sharedcall"
 	"crocusfold.dev/shell/codec"
 )
 
@@ -53,13 +52,9 @@
 	// Merge is called with the origins of a record that was read.
 	Merge func(origins []message.StreamOrigin)
 
-	// reading is held while origins are read. It guards the fields below.
-	reading sync.Mutex
-	// readAt is when the last read began, and readErr its error.
-	readAt  time.Time
-	readErr error
+	reading sharedcall.SharedCall
 	// next has, by partition, the position of the next record to read. It is valid only if
-	// located is true.
+	// located is true. Both are used by one read at a time.
 	next    []topicview.Position
 	located []bool
 }
@@ -94,33 +89,18 @@
 // that began at asOf or later serves all callers that waited for it; between two reads it
 // pauses for as long as one of so many instances must.
 func (l *OriginLog) Read(ctx context.Context, asOf time.Time, window time.Duration, instances int) error {
-	l.reading.Lock()
-	defer l.reading.Unlock()
-	if !l.readAt.IsZero() && !l.readAt.Before(asOf) {
-		return l.readErr
-	}
-	if !l.readAt.IsZero() {
-		clock.Pause(ctx, l.readAt.Add(l.Rates.Interval(instances)).Sub(l.Now()))
-	}
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	now := l.Now()
-	// Records that were not read for so long may be too many to read them all.
-	if l.next == nil || now.Sub(l.readAt) > window {
-		n := l.Rates.PartsUsed()
-		l.next, l.located = make([]topicview.Position, n), make([]bool, n)
-	}
-	l.readAt = now
-	// Others wait for this read too, so that it must not end with the caller's request.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
-	defer cancel()
-	var errs []error
-	for part := range l.next {
-		errs = append(errs, l.readPart(ctx, part, window))
-	}
-	l.readErr = errors.Join(errs...)
-	return l.readErr
+	return l.reading.Do(ctx, l.Now, asOf, l.Rates.Interval(instances), readTimeout, func(ctx context.Context, previous time.Time) error {
+		// Records that were not read for so long may be too many to read them all.
+		if l.next == nil || l.Now().Sub(previous) > window {
+			n := l.Rates.PartsUsed()
+			l.next, l.located = make([]topicview.Position, n), make([]bool, n)
+		}
+		var errs []error
+		for part := range l.next {
+			errs = append(errs, l.readPart(ctx, part, window))
+		}
+		return errors.Join(errs...)
+	})
 }
 
 // readPart reads the rest of a partition. If the log has come back from a copy or no longer
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -46,6 +46,10 @@
 	callTimeout = 150 * time.Millisecond
 	// defaultTimeout is the longest time of a stream if a route sets none.
 	defaultTimeout = 30 * time.Second
+	// currentMargin is subtracted from the time within which all instances must know that a
+	// replica drains. A list that is older than the difference counts as not current: no
+	// instance gets it from the log in time.
+	currentMargin = 200 * time.Millisecond
 	// maxRecent bounds the own origins that are kept to be sent and written.
 	maxRecent = 1 << 14
 )
@@ -254,13 +258,16 @@
 	}
 }
 
-// send sends new origins to their owners while several versions serve. Before, they are kept
-// as long as their streams may run.
+// send sends new origins to their owners while several versions serve, or the list of
+// replicas is too old to show that only one does. Before, they are kept as long as their
+// streams may run.
 func (s *Streams) send(ctx context.Context) {
 	now, window := s.Now(), s.window()
+	age, listed := s.Topics.ReplicasProofAge(now)
+	current := listed && age < s.Bounds.Bounds().Drain-currentMargin
 	s.mu.Lock()
 	s.recent.Expire(now.Add(-window))
-	if !s.mixed {
+	if !s.mixed && current {
 		s.mu.Unlock()
 		return
 	}
@@ -338,25 +345,26 @@
 // service is the one that the route would choose for it.
 func (s *Streams) Origin(ctx context.Context, now time.Time, request, service string) (streamorigin.Origin, Source) {
 	digest := xxhash.Sum64String(request)
-	window, sees := s.window(), s.seesVersions(now)
+	window := s.window()
 	s.mu.Lock()
 	origin, own := s.origins.Lookup(digest)
-	version, only := s.history.Only(service, now.Add(-window))
-	only = only && sees && now.Sub(s.observedAt) <= maxObserveGap
-	g, instances := s.owners, s.instances
+	g, instances := s.owners, max(1, s.instances)
 	s.mu.Unlock()
-	switch {
-	case own && request != "":
+	if own && request != "" {
 		return origin, Own
-	case only:
-		return streamorigin.Origin{Service: service, Version: version}, OnlyVersion
-	case request == "":
-		return streamorigin.Origin{}, Unknown
 	}
-	if origin, ok := s.ask(ctx, ownersOf(g, digest), digest); ok {
-		return origin, Peer
+	interval := s.OriginLog.Rates.Interval(instances)
+	if origin, source := s.first(ctx,
+		func(ctx context.Context) (streamorigin.Origin, Source) {
+			return s.onlyVersion(ctx, now, service, window, interval/2)
+		},
+		func(ctx context.Context) (streamorigin.Origin, Source) {
+			return s.ask(ctx, request, ownersOf(g, digest), digest)
+		},
+	); source != Unknown || request == "" {
+		return origin, source
 	}
-	if err := s.OriginLog.Read(ctx, now, window, max(1, instances)); err != nil && ctx.Err() == nil {
+	if err := s.OriginLog.Read(ctx, now, window, instances); err != nil && ctx.Err() == nil {
 		_ = s.Logger.Log("msg", "Reading the origins of streams from the log failed.", "request", request, "err", err)
 	}
 	s.mu.Lock()
@@ -367,8 +375,57 @@
 	return streamorigin.Origin{}, Unknown
 }
 
-// ask asks the owners of a stream for its origin at once.
-func (s *Streams) ask(ctx context.Context, owners []netip.AddrPort, request uint64) (streamorigin.Origin, bool) {
+// first runs look-ups at the same time, and returns the first origin that one of them finds.
+func (s *Streams) first(ctx context.Context, lookups ...func(ctx context.Context) (streamorigin.Origin, Source)) (streamorigin.Origin, Source) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		streamorigin.Origin
+		Source
+	}
+	results := make(chan result, len(lookups))
+	for _, lookup := range lookups {
+		go func() {
+			origin, source := lookup(ctx)
+			results <- result{origin, source}
+		}()
+	}
+	for range lookups {
+		if r := <-results; r.Source != Unknown {
+			return r.Origin, r.Source
+		}
+	}
+	return streamorigin.Origin{}, Unknown
+}
+
+// onlyVersion returns the version of a service if no other one can have begun a stream that
+// the caller lost before now. What this instance knew before can't show that: another
+// instance may have learnt of a second version meanwhile and begun the stream there. So the
+// list of replicas is read from the log once more.
+func (s *Streams) onlyVersion(ctx context.Context, now time.Time, service string, window, interval time.Duration) (streamorigin.Origin, Source) {
+	only := func() (version string, ok bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.history.Only(service, now.Add(-window))
+	}
+	if _, ok := only(); !ok {
+		return streamorigin.Origin{}, Unknown
+	}
+	if err := s.Topics.ConfirmReplicas(ctx, now, interval); err != nil {
+		return streamorigin.Origin{}, Unknown
+	}
+	version, ok := only()
+	if !ok {
+		return streamorigin.Origin{}, Unknown
+	}
+	return streamorigin.Origin{Service: service, Version: version}, OnlyVersion
+}
+
+// ask asks the owners of the stream that a request began for its origin at once.
+func (s *Streams) ask(ctx context.Context, id string, owners []netip.AddrPort, request uint64) (streamorigin.Origin, Source) {
+	if id == "" {
+		return streamorigin.Origin{}, Unknown
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answers := make(chan message.StreamOriginResponse, len(owners))
@@ -388,10 +445,10 @@
 	}
 	for range asked {
 		if a := <-answers; a.Known {
-			return streamorigin.Origin{Service: a.Service, Version: a.Version}, true
+			return streamorigin.Origin{Service: a.Service, Version: a.Version}, Peer
 		}
 	}
-	return streamorigin.Origin{}, false
+	return streamorigin.Origin{}, Unknown
 }
 
 // FillGossip adds the versions that served lately to a message.
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -16,6 +16,7 @@
 	"crocusfold.dev/core/topicview"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
+	"crocusfold.dev/entry/sharedcall"
 	"crocusfold.dev/shell/clock"
 )
 
@@ -61,6 +62,8 @@
 	maxBackoff       = 1200 * time.Millisecond
 	// maxPages bounds the responses of a read that is not over, before it pauses.
 	maxPages = 64
+	// confirmTimeout bounds a read of ConfirmReplicas.
+	confirmTimeout = 300 * time.Millisecond
 	// minOutage is the time between two proofs of the list of replicas, with a failed
 	// read in between, from which entries may have expired although their replicas are
 	// alive.
@@ -134,6 +137,8 @@
 	restore              restore
 	// instancesRequested is set by RequestInstances.
 	instancesRequested bool
+	// confirming is the shared read of ConfirmReplicas.
+	confirming sharedcall.SharedCall
 }
 
 // Intent returns the intent in force, or nil if there is none yet.
@@ -194,6 +199,15 @@
 	_ = t.Logger.Log("msg", "The platform's log answers again.", "topic", topic)
 }
 
+// ConfirmReplicas reads the list of replicas to its end as of the time asOf or later. It
+// returns an error if this instance can't reach the log. Callers share reads, which begin at
+// least interval apart.
+func (t *Topics) ConfirmReplicas(ctx context.Context, asOf time.Time, interval time.Duration) error {
+	return t.confirming.Do(ctx, t.Now, asOf, interval, confirmTimeout, func(ctx context.Context, _ time.Time) error {
+		return t.read(ctx, adapter.Replicas, t.Now(), 0)
+	})
+}
+
 // readOnce reads a topic up to its end, if shouldRead says so, and reports whether it did.
 func (t *Topics) readOnce(ctx context.Context, topic adapter.Topic) (read bool, err error) {
 	sent := t.Now()
@@ -201,20 +215,25 @@
 	if !read {
 		return false, nil
 	}
+	return true, t.read(ctx, topic, sent, wait)
+}
+
+// read reads a topic up to its end. The first read waits for records for up to wait.
+func (t *Topics) read(ctx context.Context, topic adapter.Topic, sent time.Time, wait time.Duration) error {
 	t.mu.Lock()
 	loaded, next := t.views[topic].Loaded(), t.views[topic].Next()
 	t.mu.Unlock()
 	if !loaded {
-		return true, t.load(ctx, topic, sent)
+		return t.load(ctx, topic, sent)
 	}
 	for pages := 1; ; pages++ {
 		page, err := t.Log.Read(ctx, topic, next, wait)
 		if errors.Is(err, adapter.ErrOffsetExpired) {
 			_ = t.Logger.Log("msg", "The records to read have expired or are of another era.", "topic", topic, "era", page.Next.Era, "next-era", next.Era, "next", next.Offset)
-			return true, t.load(ctx, topic, sent)
+			return t.load(ctx, topic, sent)
 		}
 		if err != nil {
-			return true, err
+			return err
 		}
 		// Records that follow may change what these say, so that only a view that has
 		// reached the end is proven.
@@ -229,10 +248,10 @@
 		}
 		if page.Complete() {
 			t.recordReadResult(topic, nil)
-			return true, nil
+			return nil
 		}
 		if !advanced || pages >= maxPages {
-			return true, fmt.Errorf("read up to offset %d of %d in %d pages: %w", page.Next.Offset, page.End.Offset, pages, errIncomplete)
+			return fmt.Errorf("read up to offset %d of %d in %d pages: %w", page.Next.Offset, page.End.Offset, pages, errIncomplete)
 		}
 		sent, next = t.Now(), page.Next
 	}
