--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -87,7 +87,8 @@
 	// Cold means that this instance has used up its share of the limits of cold
 	// replicas.
 	Cold Reason = "cold"
-	// Limited means that no request is left within the limits that replicas state.
+	// Limited means that no request is left within the limits that replicas state, or that
+	// they want none for a time.
 	Limited Reason = "limited"
 	// Failing means that all replicas failed or refused requests shortly before.
 	Failing Reason = "failing"
@@ -107,8 +108,7 @@
 	// granted before it is sent.
 	Limited  bool
 	Estimate Estimate
-	// Wait is the time until a limited replica may take the request, if the reason is
-	// Limited.
+	// Wait is the time until a replica may take the request, if the reason is Limited.
 	Wait time.Duration
 }
 
@@ -191,10 +191,10 @@
 			reason = Reloading
 		case p.coldLimited(now, r, req.ColdRate):
 			reason = Cold
+		case p.waits.Left(now, r.ID, r.Incarnation) > 0:
+			wait = shorter(wait, p.waits.Left(now, r.ID, r.Incarnation))
 		case r.deferred(now, req.Priority):
-			if left := r.deferredUntil.Sub(now); wait == 0 || left < wait {
-				wait = left
-			}
+			wait = shorter(wait, r.deferredUntil.Sub(now))
 		case now.Before(r.avoidUntil):
 			avoided = append(avoided, candidate{r, version})
 		default:
@@ -232,6 +232,14 @@
 	}, ""
 }
 
+// shorter returns the shorter of two times, of which a may be 0 for none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
 // candidate is a replica to choose from, with its weight version of the model.
 type candidate struct {
 	*replica
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -12,6 +12,7 @@
 	"crocusfold.dev/core/departures"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/statedlimit"
+	"crocusfold.dev/core/waits"
 )
 
 // Replica is a replica's entry in the list of replicas.
@@ -138,6 +139,7 @@
 
 	replicas   map[string]*replica
 	departures departures.Departures
+	waits      waits.Waits
 	// medianDelays caches the median delay of each service.
 	medianDelays map[string]delayMedian
 	// eligible and avoided are buffers that Choose reuses.
@@ -179,6 +181,21 @@
 	return true
 }
 
+// ObserveWait records that an incarnation of a replica wants no requests of this instance for
+// a time.
+func (p *Pool) ObserveWait(now time.Time, id string, incarnation int64, d time.Duration) {
+	p.waits.Set(now, id, incarnation, d)
+}
+
+// WaitLeft returns how much longer an incarnation of a replica wants no requests of this
+// instance.
+func (p *Pool) WaitLeft(now time.Time, id string, incarnation int64) time.Duration {
+	return p.waits.Left(now, id, incarnation)
+}
+
+// CountWaiting returns the number of replicas that want no requests of this instance now.
+func (p *Pool) CountWaiting(now time.Time) int { return p.waits.Count(now) }
+
 // LeavingSince returns the replicas of which ObserveLeaving recorded at a time or later that
 // they leave.
 func (p *Pool) LeavingSince(since time.Time) []departures.Departure {
@@ -215,6 +232,7 @@
 			removed = append(removed, r.Replica)
 		}
 	}
+	p.waits.Sweep(now)
 	p.departures.Sweep(now, func(id string) bool { return p.replicas[id] != nil })
 	return removed
 }
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -211,6 +211,9 @@
 	HasLimit, LimitInvalid bool
 	// Leaving is true if the replica states that it leaves.
 	Leaving bool
+	// Wait is how long the replica, which turned the request away, wants no others of this
+	// instance; 0 if not stated.
+	Wait time.Duration
 	// KeepAlive is how long the connection may stay idle; 0 if not stated.
 	KeepAlive time.Duration
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -210,6 +210,7 @@
 	aliveMembers := scope.Gauge("overlay_living")
 	limitsInForce := scope.Gauge("limits_in_force")
 	leaving := scope.Gauge("replicas_leaving")
+	waiting := scope.Gauge("replicas_waiting")
 	blockedParts := scope.Gauge("parts_blocked")
 	e.updateGauges = func(now time.Time) {
 		if age, ok := e.topics.Proven().Age(now); ok {
@@ -220,6 +221,7 @@
 		aliveMembers.Update(float64(alive))
 		isLeader.Update(gaugeValue(e.leader.IsLeader(now)))
 		e.replicas.WithPool(func(p *pool.Pool) { limitsInForce.Update(float64(p.CountLimited())) })
+		e.replicas.WithPool(func(p *pool.Pool) { waiting.Update(float64(p.CountWaiting(now))) })
 		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(len(p.LeavingSince(time.Time{})))) })
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -55,14 +55,17 @@
 }
 
 // observeResponse records what a response to a request sent at sentAt states about its
-// replica: that it leaves, its load, its limit, the keep-alive time of its connections and
-// its weight version.
+// replica: that it leaves, how long it wants no requests, its load, its limit, the keep-alive
+// time of its connections and its weight version.
 func (c *call) observeResponse(now time.Time, pl *replicas.Placement, info adapter.ResponseInfo, sentAt time.Time) {
 	rs := c.relay.Replicas
 	elsewhere := info.Replica != "" && info.Replica != pl.ID
 	if info.Leaving && !elsewhere && rs.ObserveLeaving(now, pl.Replica) {
 		c.relay.NotifyPeers()
 	}
+	if info.Wait > 0 && !elsewhere {
+		rs.ObserveWait(now, pl.Replica, info.Wait)
+	}
 	c.observeLimit(now, pl, info, sentAt)
 	if info.HasLoad {
 		rs.WithPool(func(p *pool.Pool) { p.SetReportedLoad(now, pl.ID, info.Running, info.Waiting) })
