--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -441,10 +441,12 @@
 }
 
 // Refused records that a replica refused a request without running it. The replica
-// is avoided for refusedBackoff.
+// is avoided for refusedBackoff, and its failure rate rises: it looks idle, and would draw the
+// requests otherwise.
 func (p *Pool) Refused(now time.Time, id string) {
 	if r, ok := p.replicas[id]; ok {
 		r.avoidUntil = later(r.avoidUntil, now.Add(refusedBackoff))
+		r.recordFailure(now)
 	}
 }
 
