--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -280,6 +280,8 @@
 	Seq int
 	// Running is the number of requests that the replica runs.
 	Running int
+	// Incarnation is that of pool.Replica; 0 if not stated.
+	Incarnation int64
 	// Leaving is true if the replica states that it leaves. It is valid with an error too.
 	Leaving bool
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -161,7 +161,7 @@
 	e.topics.Isolated, e.topics.OnAdvance, e.crashes.RequestRecords = e.gossip.Isolated, e.gossip.NotifyPeers, e.topics.RequestInstances
 	e.streams = &streams.Streams{
 		Self: self, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas, Decoder: platform.Decoder, Bounds: &e.bounds,
-		Now: now, Logger: part("streams"),
+		Control: platform.Control, Now: now, Logger: part("streams"),
 		Connected: func(now time.Time) bool { _, connected := e.gossip.Rank(now); return connected },
 		OriginLog: &originlog.OriginLog{Name: cfg.Name, Journal: countingJournal{platform.Origins, scope}, Rates: cfg.LogRates, Now: now},
 	}
--- a/entry/message/message.go
+++ b/entry/message/message.go
@@ -263,6 +263,18 @@
 // them; the response is Ack.
 type StreamOrigins struct {
 	Origins []StreamOrigin `json:"origins"`
+	// Unverified has those whose replica may have started again since its entry was proven.
+	Unverified []UnverifiedOrigin `json:"unverified,omitempty"`
+}
+
+// UnverifiedOrigin is an origin that holds if the connection on which the stream began leads
+// to the listed incarnation of its replica. Age is how long ago that connection was opened.
+type UnverifiedOrigin struct {
+	_ struct{} `cbor:",toarray"`
+	StreamOrigin
+	Replica     string
+	Incarnation int64
+	Age         time.Duration
 }
 
 // StreamOrigin is the service and the software version that began a stream. Request is the
--- a/entry/originlog/originlog.go
+++ b/entry/originlog/originlog.go
@@ -31,6 +31,8 @@
 // batch is a record: the digests of the requests that began streams, by their origin.
 type batch struct {
 	Origins []origin `json:"origins"`
+	// Unverified has the origins that hold only for an incarnation of a replica.
+	Unverified []unverifiedOrigin `json:"unverified,omitempty"`
 }
 
 type origin struct {
@@ -39,6 +41,14 @@
 	Requests []uint64 `json:"requests"`
 }
 
+type unverifiedOrigin struct {
+	Service     string   `json:"service"`
+	Version     string   `json:"version"`
+	Replica     string   `json:"replica"`
+	Incarnation int64    `json:"incarnation"`
+	Requests    []uint64 `json:"requests"`
+}
+
 var records = codec.NewUnion(codec.Case(1, func(b batch) batch { return b }))
 
 // OriginLog reads and writes the origins on the log. The exported fields must be set before
@@ -49,8 +59,9 @@
 	Journal adapter.Journal
 	Rates   writeshare.Rates
 	Now     func() time.Time
-	// Merge is called with the origins of a record that was read.
-	Merge func(origins []message.StreamOrigin)
+	// Merge is called with the origins of a record that was read. The ages of the connections
+	// are not known; they count as opened now.
+	Merge func(origins message.StreamOrigins)
 
 	reading sharedcall.SharedCall
 	// next has, by partition, the position of the next record to read. It is valid only if
@@ -60,10 +71,13 @@
 }
 
 // Write appends a record with up to MaxBatch origins.
-func (l *OriginLog) Write(ctx context.Context, origins []message.StreamOrigin) error {
+func (l *OriginLog) Write(ctx context.Context, origins message.StreamOrigins) error {
 	var b batch
 	index := map[[2]string]int{}
-	for _, o := range origins {
+	for _, u := range origins.Unverified {
+		b.Unverified = append(b.Unverified, unverifiedOrigin{u.Service, u.Version, u.Replica, u.Incarnation, []uint64{u.Request}})
+	}
+	for _, o := range origins.Origins {
 		key := [2]string{o.Service, o.Version}
 		i, ok := index[key]
 		if !ok {
@@ -145,10 +159,16 @@
 	if err != nil {
 		return
 	}
-	var out []message.StreamOrigin
+	var out message.StreamOrigins
 	for _, o := range b.Origins {
 		for _, request := range o.Requests {
-			out = append(out, message.StreamOrigin{Request: request, Service: o.Service, Version: o.Version})
+			out.Origins = append(out.Origins, message.StreamOrigin{Request: request, Service: o.Service, Version: o.Version})
+		}
+	}
+	for _, u := range b.Unverified {
+		for _, request := range u.Requests {
+			o := message.StreamOrigin{Request: request, Service: u.Service, Version: u.Version}
+			out.Unverified = append(out.Unverified, message.UnverifiedOrigin{StreamOrigin: o, Replica: u.Replica, Incarnation: u.Incarnation})
 		}
 	}
 	l.Merge(out)
--- a/entry/originlog/originlog_test.go
+++ b/entry/originlog/originlog_test.go
@@ -45,8 +45,8 @@
 
 func newOriginLog(j *journal) (*OriginLog, map[uint64]message.StreamOrigin) {
 	known := map[uint64]message.StreamOrigin{}
-	return &OriginLog{Name: "n1", Journal: j, Now: time.Now, Merge: func(origins []message.StreamOrigin) {
-		for _, o := range origins {
+	return &OriginLog{Name: "n1", Journal: j, Now: time.Now, Merge: func(origins message.StreamOrigins) {
+		for _, o := range origins.Origins {
 			known[o.Request] = o
 		}
 	}}, known
@@ -61,14 +61,14 @@
 		l, known := newOriginLog(j)
 		ctx := context.Background()
 		for n := range uint64(5) {
-			is.NoErr(l.Write(ctx, []message.StreamOrigin{{Request: 2 * n, Service: "llm", Version: "v1"}, {Request: 2*n + 1, Service: "llm", Version: "v2"}}))
+			is.NoErr(l.Write(ctx, message.StreamOrigins{Origins: []message.StreamOrigin{{Request: 2 * n, Service: "llm", Version: "v1"}, {Request: 2*n + 1, Service: "llm", Version: "v2"}}}))
 		}
 		j.records = append(j.records, []byte("garbage"), nil)
 		is.NoErr(l.Read(ctx, time.Now(), time.Minute, 9))
 		is.Equal(len(known), 10)
 		is.Equal(known[3], message.StreamOrigin{Request: 3, Service: "llm", Version: "v2"})
 		j.era, j.records = 2, nil
-		is.NoErr(l.Write(ctx, []message.StreamOrigin{{Request: 77, Service: "llm", Version: "v2"}}))
+		is.NoErr(l.Write(ctx, message.StreamOrigins{Origins: []message.StreamOrigin{{Request: 77, Service: "llm", Version: "v2"}}}))
 		time.Sleep(time.Second)
 		is.NoErr(l.Read(ctx, time.Now(), time.Minute, 9))
 		is.Equal(known[77].Version, "v2")
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -61,6 +61,7 @@
 	errWrongRequest = errors.New("the response belongs to another request")
 	errServerError  = errors.New("the replica responded with a server error")
 	errUnproven     = errors.New("the response refuses a request, but not provably this one")
+	errUnverified   = errors.New("the replica may have started again with another software version")
 	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, or has stated a limit within which the request was not granted")
 )
 
@@ -75,6 +76,8 @@
 		return "erred"
 	case errors.Is(err, errUnproven):
 		return "unproven"
+	case errors.Is(err, errUnverified):
+		return "unverified"
 	}
 	return "unusable"
 }
@@ -305,7 +308,12 @@
 	}
 	respInfo := c.relay.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.observeResponse(now, pl, respInfo, sentAt)
-	if err := c.checkResponse(now, pl, resp, respInfo, &conn); err != nil {
+	c.connOpened = conn.firstUse(now)
+	err = c.checkResponse(now, pl, resp, respInfo, &conn)
+	if err == nil && respInfo.Succeeded {
+		err = c.checkSoftware(pl)
+	}
+	if err != nil {
 		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "err", err)
 		c.relay.Metrics.countFailedAttempt(pl.Service, failureName(err))
 		switch {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -158,6 +158,8 @@
 	service route.Service
 	// software is the software version that must serve the request; empty if any may.
 	software string
+	// connOpened is when the connection to the replica of the last attempt was first used.
+	connOpened time.Time
 	// budget bounds the retries of the service's requests.
 	budget *retry.Budget
 	// deadline is when the timeout of the caller or of the route expires.
--- a/entry/relay/resume.go
+++ b/entry/relay/resume.go
@@ -54,5 +54,15 @@
 	if c.resumes() && c.info.Resumes != "" {
 		began = c.info.Resumes
 	}
-	c.relay.Streams.Began(c.relay.Now(), began, c.service.Name, pl.Software)
+	c.relay.Streams.Began(c.relay.Now(), began, c.service.Name, streams.Connection{Replica: pl.Replica, OpenedAt: c.connOpened})
+}
+
+// checkSoftware returns an error if the response may come from another software version than
+// the one that must go on with a resumed stream: its replica may have started again with
+// another one.
+func (c *call) checkSoftware(pl *replicas.Placement) error {
+	if c.software == "" || c.relay.Streams.Verify(c.ctx, streams.Connection{Replica: pl.Replica, OpenedAt: c.connOpened}) {
+		return nil
+	}
+	return errUnverified
 }
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -90,6 +90,8 @@
 	Logger   log.Logger
 	// Connected reports whether this instance is connected to a majority of the instances.
 	Connected func(now time.Time) bool
+	// Control asks replicas when they started.
+	Control adapter.Control
 	// OriginLog keeps origins on the platform's log.
 	OriginLog *originlog.OriginLog
 
@@ -99,8 +101,13 @@
 	owners  grantors.Grantors
 	// instances is the number of instances.
 	instances int
+	// unverified has the streams whose software version is not proven yet, by the digests of
+	// the requests that began them.
+	unverified map[uint64]unverified
+	// probes has the last probe of each replica.
+	probes map[string]probe
 	// recent has the own streams that may still run.
-	recent backlog.Backlog[message.StreamOrigin]
+	recent backlog.Backlog[begun]
 	// observedAt is when the versions that serve were last observed.
 	observedAt time.Time
 	// mixed is true while several versions of a service served lately.
@@ -110,23 +117,35 @@
 // Attach registers the handler for the messages of peers. It must be called before the
 // endpoint serves.
 func (s *Streams) Attach() {
-	s.OriginLog.Merge = func(origins []message.StreamOrigin) { s.merge(s.Now(), origins) }
-	s.Endpoint.Handle(func(_ context.Context, _ string, msg message.Message) (message.Message, bool, error) {
+	s.probes, s.unverified = map[string]probe{}, map[uint64]unverified{}
+	s.OriginLog.Merge = func(origins message.StreamOrigins) { s.merge(s.Now(), origins) }
+	s.Endpoint.Handle(func(ctx context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		switch m := msg.(type) {
 		case message.StreamOrigins:
-			s.merge(s.Now(), m.Origins)
+			s.merge(s.Now(), m)
 			return message.Ack{}, true, nil
 		case message.StreamQuery:
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			o, ok := s.origins.Lookup(m.Request)
-			return message.StreamOriginResponse{Known: ok, Service: o.Service, Version: o.Version}, true, nil
+			return s.answer(ctx, m.Request), true, nil
 		default:
 			return nil, false, nil
 		}
 	})
 }
 
+// answer responds to the query of a peer.
+func (s *Streams) answer(ctx context.Context, request uint64) message.StreamOriginResponse {
+	s.mu.Lock()
+	o, ok := s.origins.Lookup(request)
+	s.mu.Unlock()
+	if ok {
+		return message.StreamOriginResponse{Known: true, Service: o.Service, Version: o.Version}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	own, verified, _ := s.resolve(ctx, request)
+	return message.StreamOriginResponse{Known: verified, Service: own.Service, Version: own.Version}
+}
+
 // SetOwners sets the instances among which the owners of streams are chosen, and the number
 // of all instances.
 func (s *Streams) SetOwners(g grantors.Grantors, instances int) {
@@ -238,24 +257,44 @@
 	s.history.Cover(since)
 }
 
-// Began records that the response to a caller's request is the begin of a stream from a
-// version of a service, or goes on with the stream that the request began.
-func (s *Streams) Began(now time.Time, request, service, version string) {
-	origin := message.StreamOrigin{Request: xxhash.Sum64String(request), Service: service, Version: version}
+// Began records that the response to a caller's request, which came on a connection, is the
+// begin of a stream, or goes on with the stream that the request began.
+func (s *Streams) Began(now time.Time, request, service string, c Connection) {
+	origin := message.StreamOrigin{Request: xxhash.Sum64String(request), Service: service, Version: c.Replica.Software}
+	if s.verified(c) {
+		s.add(now, origin)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keepUnverified(unverified{begun{origin, c, false}, now, true})
+	s.recent.Add(now, maxRecent, begun{origin, c, false})
+}
+
+// add records the origin of an own stream that began at a time.
+func (s *Streams) add(at time.Time, origin message.StreamOrigin) {
+	window := s.window()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origins.Add(now, s.window(), origin.Request, streamorigin.Origin{Service: service, Version: version, At: now})
-	s.recent.Add(now, maxRecent, origin)
+	s.origins.Add(at, window, origin.Request, streamorigin.Origin{Service: origin.Service, Version: origin.Version, At: at})
+	s.recent.Add(at, maxRecent, begun{StreamOrigin: origin, verified: true})
 }
 
-// merge adds origins that a peer has sent.
-func (s *Streams) merge(now time.Time, origins []message.StreamOrigin) {
+// merge adds origins that a peer has sent, or that were read from the log.
+func (s *Streams) merge(now time.Time, m message.StreamOrigins) {
 	window := s.window()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, o := range origins {
+	for _, o := range m.Origins {
 		s.origins.Add(now, window, o.Request, streamorigin.Origin{Service: o.Service, Version: o.Version, At: now})
 	}
+	for _, u := range m.Unverified {
+		if _, ok := s.origins.Lookup(u.Request); ok {
+			continue
+		}
+		c := Connection{Replica: pool.Replica{ID: u.Replica, Incarnation: u.Incarnation, Software: u.Version}, OpenedAt: now.Add(-max(0, u.Age))}
+		s.keepUnverified(unverified{begun{u.StreamOrigin, c, false}, now, false})
+	}
 }
 
 // send sends new origins to their owners while several versions serve, or the list of
@@ -265,6 +304,7 @@
 	now, window := s.Now(), s.window()
 	age, listed := s.Topics.ReplicasProofAge(now)
 	current := listed && age < s.Bounds.Bounds().Drain-currentMargin
+	s.settle(ctx, now, current)
 	s.mu.Lock()
 	s.recent.Expire(now.Add(-window))
 	if !s.mixed && current {
@@ -275,7 +315,7 @@
 	s.recent.Received(toOwners, next)
 	g := s.owners
 	s.mu.Unlock()
-	byOwner := map[netip.AddrPort][]message.StreamOrigin{}
+	byOwner := map[netip.AddrPort][]begun{}
 	for _, o := range unsent {
 		for _, owner := range ownersOf(g, o.Request) {
 			if owner != s.Self.Address {
@@ -287,7 +327,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			if _, err := s.Endpoint.Call(ctx, roster.Member{Name: owner.String(), Address: owner}, message.StreamOrigins{Origins: origins}); err != nil && ctx.Err() == nil {
+			if _, err := s.Endpoint.Call(ctx, roster.Member{Name: owner.String(), Address: owner}, messageOf(now, origins)); err != nil && ctx.Err() == nil {
 				_ = s.Logger.Log("msg", "Sending the origins of streams failed.", "peer", owner, "streams", len(origins), "err", err)
 			}
 		}()
@@ -303,7 +343,7 @@
 		s.mu.Unlock()
 		clock.Pause(ctx, interval)
 		s.mu.Lock()
-		var unwritten []message.StreamOrigin
+		var unwritten []begun
 		var next uint64
 		if s.mixed {
 			unwritten, next = s.recent.Missing(toLog, originlog.MaxBatch)
@@ -312,7 +352,7 @@
 		if len(unwritten) == 0 {
 			continue
 		}
-		err := s.OriginLog.Write(ctx, unwritten)
+		err := s.OriginLog.Write(ctx, messageOf(s.Now(), unwritten))
 		if err == nil {
 			s.mu.Lock()
 			s.recent.Received(toLog, next)
@@ -353,6 +393,9 @@
 	if own && request != "" {
 		return origin, Own
 	}
+	if origin, verified, known := s.resolve(ctx, digest); known {
+		return resolved(origin, verified, Own)
+	}
 	interval := s.OriginLog.Rates.Interval(instances)
 	if origin, source := s.first(ctx,
 		func(ctx context.Context) (streamorigin.Origin, Source) {
@@ -368,11 +411,21 @@
 		_ = s.Logger.Log("msg", "Reading the origins of streams from the log failed.", "request", request, "err", err)
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if origin, ok := s.origins.Lookup(digest); ok {
+	origin, ok := s.origins.Lookup(digest)
+	s.mu.Unlock()
+	if ok {
 		return origin, Log
 	}
-	return streamorigin.Origin{}, Unknown
+	origin, verified, _ := s.resolve(ctx, digest)
+	return resolved(origin, verified, Log)
+}
+
+// resolved returns an origin that was found at a source, if it is verified.
+func resolved(origin streamorigin.Origin, verified bool, source Source) (streamorigin.Origin, Source) {
+	if !verified {
+		return streamorigin.Origin{}, Unknown
+	}
+	return origin, source
 }
 
 // first runs look-ups at the same time, and returns the first origin that one of them finds.
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -391,6 +391,14 @@
 	t.OnIntent(&in)
 }
 
+// ReplicasProof returns the latest time as of which the list of replicas is known to be
+// complete, or the zero time if there is none.
+func (t *Topics) ReplicasProof() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.views[adapter.Replicas].Proof()
+}
+
 // ReplicasProofAge returns the age of the proof that the list of replicas is complete; ok is
 // false if there is none.
 func (t *Topics) ReplicasProofAge(now time.Time) (age time.Duration, ok bool) {
