Write unverified origins in groups, and settle them only after a new proof

Cause: each unverified origin was a group of its own in a record of the log, so that a full batch of 4,096 would have been larger than a record may be, and each write would have failed from then on. Streams were checked each 50 ms although nothing can change before the next proof of the list.

Change: origins are grouped by service, replica and incarnation; they are settled once for each proof, and at each step only while the list is not current.

Test: TestUnverified (a full batch over 400 replicas fits 256 KiB and is read as written).

--- a/entry/originlog/originlog.go
+++ b/entry/originlog/originlog.go
@@ -74,8 +74,20 @@
 func (l *OriginLog) Write(ctx context.Context, origins message.StreamOrigins) error {
 	var b batch
 	index := map[[2]string]int{}
+	type process struct {
+		service, replica string
+		incarnation      int64
+	}
+	processes := map[process]int{}
 	for _, u := range origins.Unverified {
-		b.Unverified = append(b.Unverified, unverifiedOrigin{u.Service, u.Version, u.Replica, u.Incarnation, []uint64{u.Request}})
+		key := process{u.Service, u.Replica, u.Incarnation}
+		i, ok := processes[key]
+		if !ok {
+			i = len(b.Unverified)
+			processes[key] = i
+			b.Unverified = append(b.Unverified, unverifiedOrigin{Service: u.Service, Version: u.Version, Replica: u.Replica, Incarnation: u.Incarnation})
+		}
+		b.Unverified[i].Requests = append(b.Unverified[i].Requests, u.Request)
 	}
 	for _, o := range origins.Origins {
 		key := [2]string{o.Service, o.Version}
--- a/entry/originlog/originlog_test.go
+++ b/entry/originlog/originlog_test.go
@@ -90,3 +90,32 @@
 		is.True(j.reads <= 2)
 	})
 }
+
+// maxRecord is the largest record that the log takes, in bytes.
+const maxRecord = 256 << 10
+
+// TestUnverified checks that origins that hold for one incarnation of a replica are read as
+// they were written, and that the largest batch fits a record.
+func TestUnverified(t *testing.T) {
+	is := is.New(t)
+	j := &journal{era: 1, pageSize: 2}
+	l, _ := newOriginLog(j)
+	known := map[uint64]message.UnverifiedOrigin{}
+	l.Merge = func(origins message.StreamOrigins) {
+		for _, u := range origins.Unverified {
+			known[u.Request] = u
+		}
+	}
+	var batch message.StreamOrigins
+	for n := range uint64(MaxBatch) {
+		replica := fmt.Sprintf("i-replica-with-a-long-id-%d", n%400)
+		batch.Unverified = append(batch.Unverified, message.UnverifiedOrigin{
+			StreamOrigin: message.StreamOrigin{Request: 1<<63 + n, Service: "llm", Version: "v1"}, Replica: replica, Incarnation: 1 << 40,
+		})
+	}
+	is.NoErr(l.Write(context.Background(), batch))
+	is.True(len(j.records[0]) < maxRecord)
+	is.NoErr(l.Read(context.Background(), time.Now(), time.Minute, 9))
+	is.Equal(len(known), MaxBatch)
+	is.Equal(known[1<<63+401], batch.Unverified[401])
+}
--- a/entry/streams/unverified.go
+++ b/entry/streams/unverified.go
@@ -150,9 +150,18 @@
 // settle records the origins of the streams whose connections have been verified, and forgets
 // those that no longer run. While the log is away, it asks the replicas of own ones.
 func (s *Streams) settle(ctx context.Context, now time.Time, listCurrent bool) {
+	proof := s.Topics.ReplicasProof()
 	s.mu.Lock()
-	all := slices.Collect(maps.Values(s.unverified))
+	due := len(s.unverified) > 0 && (!listCurrent || proof.After(s.settledProof))
+	var all []unverified
+	if due {
+		s.settledProof = proof
+		all = slices.Collect(maps.Values(s.unverified))
+	}
 	s.mu.Unlock()
+	if !due {
+		return
+	}
 	window := s.window()
 	asked := map[string]bool{}
 	for _, u := range all {
