Ask a replica for its start before a stream goes on there on a new connection (ORDER)

Cause: a list that is complete may still lack the new start of a replica, which is written within a heartbeat. Ruled out: stale lists; the reads were later than the connections.

Change: the list verifies a connection only if it is proven a heartbeat after the connection was opened. Before, the replica's own report tells its start; if it states none, the list decides as before. Probes are shared and paced. A stream whose replica has started again is refused; one whose replica does not answer goes on only if one version serves by the log.

--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -34,6 +34,9 @@
 	// All instances together may send a cold replica ColdOvershoot times its rate plus
 	// ColdSlack requests per second.
 	ColdOvershoot, ColdSlack float64
+	// Heartbeat is how often a replica writes its entry, and so the longest time after its
+	// start without one.
+	Heartbeat time.Duration
 	// MinMemberTTL is the shortest time to live that the platform's log allows for the
 	// membership in a group.
 	MinMemberTTL time.Duration
--- a/entry/streams/origin.go
+++ b/entry/streams/origin.go
@@ -43,10 +43,15 @@
 	if own && request != "" {
 		return origin, Own
 	}
-	if origin, verified, known := s.resolve(ctx, digest); known {
-		return resolved(origin, verified, Own)
-	}
 	interval := s.OriginLog.Rates.Interval(instances)
+	switch origin, result := s.resolve(ctx, digest); result {
+	case resolved:
+		return origin, Own
+	case unresolved:
+		return s.onlyVersion(ctx, now, service, window, interval/2)
+	case ambiguous:
+		return streamorigin.Origin{}, Unknown
+	}
 	if origin, source := s.first(ctx,
 		func(ctx context.Context) (streamorigin.Origin, Source) {
 			return s.onlyVersion(ctx, now, service, window, interval/2)
@@ -66,16 +71,10 @@
 	if ok {
 		return origin, Log
 	}
-	origin, verified, _ := s.resolve(ctx, digest)
-	return resolved(origin, verified, Log)
-}
-
-// resolved returns an origin that was found at a source, if it is verified.
-func resolved(origin streamorigin.Origin, verified bool, source Source) (streamorigin.Origin, Source) {
-	if !verified {
-		return streamorigin.Origin{}, Unknown
+	if origin, result := s.resolve(ctx, digest); result == resolved {
+		return origin, Log
 	}
-	return origin, source
+	return streamorigin.Origin{}, Unknown
 }
 
 // first runs look-ups at the same time, and returns the first origin that one of them finds.
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -89,8 +89,8 @@
 	unverified map[uint64]unverified
 	// settledProof is the proof of the list up to which they were settled.
 	settledProof time.Time
-	// probes has the last probe of each replica.
-	probes map[string]probe
+	// probes has the probe of each replica that was asked.
+	probes map[string]*probe
 	// recent has the own streams that may still run.
 	recent backlog.Backlog[begun]
 	// observedAt is when the versions that serve were last observed.
@@ -102,7 +102,7 @@
 // Attach registers the handler for the messages of peers. It must be called before the
 // endpoint serves.
 func (s *Streams) Attach() {
-	s.probes, s.unverified = map[string]probe{}, map[uint64]unverified{}
+	s.probes, s.unverified = map[string]*probe{}, map[uint64]unverified{}
 	s.OriginLog.Merge = func(origins message.StreamOrigins) { s.merge(s.Now(), origins) }
 	s.Endpoint.Handle(func(ctx context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		switch m := msg.(type) {
@@ -127,8 +127,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	own, verified, _ := s.resolve(ctx, request)
-	return message.StreamOriginResponse{Known: verified, Service: own.Service, Version: own.Version}
+	own, result := s.resolve(ctx, request)
+	return message.StreamOriginResponse{Known: result == resolved, Service: own.Service, Version: own.Version}
 }
 
 // SetOwners sets the instances among which the owners of streams are chosen, and the number
@@ -188,6 +188,7 @@
 	if in == nil {
 		return
 	}
+	s.sweepProbes()
 	window, mixed, sees := s.window(), false, s.seesVersions(now)
 	s.mu.Lock()
 	if gap := now.Sub(s.observedAt); s.observedAt.IsZero() || gap <= maxObserveGap && sees {
