--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -62,7 +62,7 @@
 	errServerError  = errors.New("the replica responded with a server error")
 	errUnproven     = errors.New("the response refuses a request, but not provably this one")
 	errUnverified   = errors.New("the replica may have started again with another software version")
-	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, or has stated a limit within which the request was not granted")
+	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, wants no requests for a time, or has stated a limit within which the request was not granted")
 )
 
 // failureName returns the label of a failure in the metrics.
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -107,8 +107,9 @@
 }
 
 // MaySend reports whether a placed request may still be sent: its replica must not have
-// stated meanwhile that it leaves or wants no requests, the request must have been granted within grantTTL if the
-// replica states a limit now, and a request for a software version must find it there.
+// stated meanwhile that it leaves or wants no requests, the request must have been granted
+// within grantTTL if the replica states a limit now, and a request for a software version must
+// find it there.
 func (rs *Replicas) MaySend(now time.Time, p *Placement) bool {
 	if rs.leaving(p.Replica) || rs.waitLeft(now, p.Replica) > 0 {
 		return false
--- a/entry/replicas/peers.go
+++ b/entry/replicas/peers.go
@@ -67,8 +67,9 @@
 }
 
 // FillGossip adds to a message for a peer the oldest fetched and the named weight
-// versions, the changes of weights and of limits and the replicas that leave since a given time, and
-// the sum of the work in flight of this instance and of the given peers. Unrelated instances exchange no loads.
+// versions, the changes of weights and of limits and the replicas that leave since a given
+// time, and the sum of the work in flight of this instance and of the given peers. Unrelated
+// instances exchange no loads.
 func (rs *Replicas) FillGossip(now time.Time, g *message.Gossip, since time.Time, peers map[string]bool) {
 	for model, oldest := range rs.OldestFetchedVersions(now) {
 		g.OldestFetched = append(g.OldestFetched, message.ModelVersion{Model: model, Version: oldest, ReporterDigest: membership.Digest(g.Address)})
--- a/entry/streams/unverified.go
+++ b/entry/streams/unverified.go
@@ -31,9 +31,9 @@
 var errNoStart = errors.New("the replica's report does not state its start")
 
 // Connection is a connection to a replica of the list. A replica may start again under its id
-// and address, with another software version, before its entry says so. That ends its
-// connections, so that one which is older than a proof of the entry leads to the process that
-// the entry is about.
+// and address, with another software version, up to a heartbeat before its entry says so.
+// That ends its connections, so that one which is older than a proof of the entry by more than
+// a heartbeat leads to the process that the entry is about.
 type Connection struct {
 	Replica  pool.Replica
 	OpenedAt time.Time
