Believe a replica that leaves although an earlier or later start of it left before

What callers saw: a replica whose clock was set back starts again under its id and later states Server-Leaving; requests go on to it until it is gone (DRAIN). The same holds for an instance that hears from a peer that the next start of a replica leaves while its own list still has the one before.

Cause: one departure was kept for each replica, that with the highest start time, and statements of lower ones were dropped. The class is that of an order assumed where the platform states none: "born" is a clock's reading.

Departures are now kept for each incarnation, without an order, and dropped ten minutes after they were recorded unless the incarnation is listed.

Test: TestPath/departures/a-replica-that-started-again-with-an-earlier-start-time failed before (200 in place of 503 for the request after the statement), passes now.

--- a/core/departures/departures.go
+++ b/core/departures/departures.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// ttl is how long a departure is kept after it was recorded, unless the caller still lists
-// its replica. Entries that expired while the log was away are written again within seconds.
+// ttl is how long a departure is kept after it was recorded, unless the caller still needs
+// it. Entries that expired while the log was away are written again within seconds.
 const ttl = 10 * time.Minute
 
 // Departure is an incarnation of a replica that leaves.
@@ -17,48 +17,52 @@
 	RecordedAt time.Time
 }
 
-// Departures has the newest departure of each replica. The zero value is empty. It is not
-// safe for concurrent use.
+// Departures has the incarnations of replicas that leave, in no order: the clock that numbers
+// them may be set back. The zero value is empty. It is not safe for concurrent use.
 type Departures struct {
-	newest map[string]Departure
+	recordedAt map[incarnation]time.Time
 }
 
-// Record records that an incarnation leaves, and reports whether that is new. A statement of
-// an earlier incarnation than the known one is ignored.
-func (d *Departures) Record(now time.Time, replica string, incarnation int64) bool {
-	if old, ok := d.newest[replica]; ok && old.Incarnation >= incarnation {
+type incarnation struct {
+	replica string
+	number  int64
+}
+
+// Record records that an incarnation leaves, and reports whether that is new.
+func (d *Departures) Record(now time.Time, replica string, number int64) bool {
+	if d.Leaving(replica, number) {
 		return false
 	}
-	if d.newest == nil {
-		d.newest = map[string]Departure{}
+	if d.recordedAt == nil {
+		d.recordedAt = map[incarnation]time.Time{}
 	}
-	d.newest[replica] = Departure{replica, incarnation, now}
+	d.recordedAt[incarnation{replica, number}] = now
 	return true
 }
 
 // Leaving reports whether an incarnation has stated that it leaves.
-func (d *Departures) Leaving(replica string, incarnation int64) bool {
-	dep, ok := d.newest[replica]
-	return ok && dep.Incarnation == incarnation
+func (d *Departures) Leaving(replica string, number int64) bool {
+	_, ok := d.recordedAt[incarnation{replica, number}]
+	return ok
 }
 
 // RecordedSince returns the departures that were recorded at a time or later, in no
 // particular order.
 func (d *Departures) RecordedSince(since time.Time) []Departure {
 	var out []Departure
-	for _, dep := range d.newest {
-		if !dep.RecordedAt.Before(since) {
-			out = append(out, dep)
+	for inc, at := range d.recordedAt {
+		if !at.Before(since) {
+			out = append(out, Departure{inc.replica, inc.number, at})
 		}
 	}
 	return out
 }
 
-// Sweep drops the departures that are older than ttl and whose replica is not listed.
-func (d *Departures) Sweep(now time.Time, listed func(replica string) bool) {
-	for id, dep := range d.newest {
-		if now.Sub(dep.RecordedAt) > ttl && !listed(id) {
-			delete(d.newest, id)
+// Sweep drops the departures that are older than ttl and whose incarnation is not listed.
+func (d *Departures) Sweep(now time.Time, listed func(replica string, number int64) bool) {
+	for inc, at := range d.recordedAt {
+		if now.Sub(at) > ttl && !listed(inc.replica, inc.number) {
+			delete(d.recordedAt, inc)
 		}
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -193,7 +193,10 @@
 		}
 	}
 	p.waits.Sweep(now)
-	p.departures.Sweep(now, func(id string) bool { return p.replicas[id] != nil })
+	p.departures.Sweep(now, func(id string, incarnation int64) bool {
+		r, ok := p.replicas[id]
+		return ok && r.Incarnation == incarnation
+	})
 	return removed
 }
 
