Leave a replica alone that asks for it after its start time went back

What callers saw: a replica asks for 60 s without requests, starts again while its clock is set back, and asks for some seconds again; this second wait is dropped for up to five minutes, so that it gets its whole share of the requests (BUDGET, more than two requests within a stated Retry-After).

Waits are now kept for each incarnation, without an order; the gauge still counts replicas.

Test: TestPath/refusals/a-replica-that-started-again-with-an-earlier-start-time failed before (200 in place of 503), passes now.

--- a/core/waits/waits.go
+++ b/core/waits/waits.go
@@ -9,58 +9,55 @@
 // more is asked once after that time, and may state it again.
 const MaxWait = 5 * time.Minute
 
-// Waits has the waits of replicas. The zero value has none. It is not safe for concurrent
-// use.
+// Waits has the waits of replicas. Their incarnations have no order: the clock that numbers
+// them may be set back. The zero value has none. It is not safe for concurrent use.
 type Waits struct {
-	until map[string]wait
+	until map[incarnation]time.Time
 }
 
-type wait struct {
-	incarnation int64
-	until       time.Time
+type incarnation struct {
+	replica string
+	number  int64
 }
 
 // Set records that an incarnation of a replica wants no requests for a time.
-func (w *Waits) Set(now time.Time, replica string, incarnation int64, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	until := now.Add(min(d, MaxWait))
-	if old, ok := w.until[replica]; ok && (old.incarnation > incarnation || old.incarnation == incarnation && old.until.After(until)) {
+func (w *Waits) Set(now time.Time, replica string, number int64, d time.Duration) {
+	inc, until := incarnation{replica, number}, now.Add(min(d, MaxWait))
+	if d <= 0 || w.until[inc].After(until) {
 		return
 	}
 	if w.until == nil {
-		w.until = map[string]wait{}
+		w.until = map[incarnation]time.Time{}
 	}
-	w.until[replica] = wait{incarnation, until}
+	w.until[inc] = until
 }
 
 // Left returns how much longer an incarnation of a replica wants no requests; 0 if it takes
 // some.
-func (w *Waits) Left(now time.Time, replica string, incarnation int64) time.Duration {
-	old, ok := w.until[replica]
-	if !ok || old.incarnation != incarnation {
+func (w *Waits) Left(now time.Time, replica string, number int64) time.Duration {
+	until, ok := w.until[incarnation{replica, number}]
+	if !ok {
 		return 0
 	}
-	return max(0, old.until.Sub(now))
+	return max(0, until.Sub(now))
 }
 
-// Count returns the number of replicas that want no requests now.
+// Count returns the number of replicas of which an incarnation wants no requests now.
 func (w *Waits) Count(now time.Time) int {
-	n := 0
-	for _, old := range w.until {
-		if now.Before(old.until) {
-			n++
+	waiting := map[string]bool{}
+	for inc, until := range w.until {
+		if now.Before(until) {
+			waiting[inc.replica] = true
 		}
 	}
-	return n
+	return len(waiting)
 }
 
 // Sweep drops the waits that are over.
 func (w *Waits) Sweep(now time.Time) {
-	for id, old := range w.until {
-		if !now.Before(old.until) {
-			delete(w.until, id)
+	for inc, until := range w.until {
+		if !now.Before(until) {
+			delete(w.until, inc)
 		}
 	}
 }
