Ask a replica that leaves which of its starts that is

What callers saw: an instance is cut off while a replica starts again under its id and address and then states Server-Leaving. The instance passes that on and stops, but once it learns of the new start from the list it sends requests there again (DRAIN), until the next response states it.

The instance now asks the replica once for its report, which has the header and the start, and records that start too and tells its peers. The leader's reports are read in the same way.

Test: TestPath/departures/a-replica-that-started-again-while-an-instance-was-cut-off failed before (200 in place of 503 after the cut was healed), passes now.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -187,7 +187,7 @@
 		e.retryBudgets.SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
-		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas,
+		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas, Control: platform.Control,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
 		Limits: e.limits, Streams: e.streams, NotifyPeers: e.gossip.NotifyPeers,
 	}
--- a/entry/leader/reload.go
+++ b/entry/leader/reload.go
@@ -156,7 +156,7 @@
 func (l *Leader) report(ctx context.Context, r pool.Replica) (adapter.Report, error) {
 	l.charge(ctx, r)
 	report, err := l.Control.Report(ctx, r.Address)
-	if report.Leaving && l.Replicas.ObserveLeaving(l.Now(), r) {
+	if l.Replicas.ObserveReport(l.Now(), r, report) {
 		l.NotifyPeers()
 	}
 	return report, err
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -62,6 +63,7 @@
 	elsewhere := info.Replica != "" && info.Replica != pl.ID
 	if info.Leaving && !elsewhere && rs.ObserveLeaving(now, pl.Replica) {
 		c.relay.NotifyPeers()
+		go c.relay.askWhichLeaves(pl.Replica)
 	}
 	if info.Wait > 0 && !elsewhere {
 		rs.ObserveWait(now, pl.Replica, info.Wait)
@@ -78,6 +80,18 @@
 	}
 }
 
+// askWhichLeaves asks a replica that leaves which incarnation it is: its entry may be of an
+// earlier start. If it does not answer, the next response of that incarnation tells.
+func (rl *Relay) askWhichLeaves(r pool.Replica) {
+	report, err := rl.Control.Report(context.Background(), r.Address)
+	if err != nil {
+		_ = rl.Logger.Log("msg", "A replica that leaves did not report which start it is of.", "replica", r.ID, "err", err)
+	}
+	if rl.Replicas.ObserveReport(rl.Now(), r, report) {
+		rl.NotifyPeers()
+	}
+}
+
 // observeLimit records the limit that a response states. A response without one shows the
 // end of a limit only if the replica certainly ran the request, since an error may come
 // from a part of it that states none.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -54,13 +54,15 @@
 	Dialect  adapter.Dialect
 	Topics   *topics.Topics
 	Replicas *replicas.Replicas
-	Budgets  *retry.Budgets
-	Limits   *replicalimits.ReplicaLimits
-	Streams  *streams.Streams
-	Now      func() time.Time
-	Logger   log.Logger
-	Metrics  *Metrics
-	Crashes  *Crashes
+	// Control asks replicas that leave when they started.
+	Control adapter.Control
+	Budgets *retry.Budgets
+	Limits  *replicalimits.ReplicaLimits
+	Streams *streams.Streams
+	Now     func() time.Time
+	Logger  log.Logger
+	Metrics *Metrics
+	Crashes *Crashes
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
 
--- a/entry/replicas/leaving.go
+++ b/entry/replicas/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"crocusfold.dev/core/pool"
+	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/message"
 )
 
@@ -13,6 +14,20 @@
 	return rs.observeLeaving(now, r.ID, r.Incarnation, "response", 0)
 }
 
+// ObserveReport records that a replica leaves if its report states that, both for the listed
+// incarnation and for the one that reported: a replica may have started again since its entry
+// was read. It reports whether peers must be notified at once.
+func (rs *Replicas) ObserveReport(now time.Time, listed pool.Replica, report adapter.Report) bool {
+	if !report.Leaving {
+		return false
+	}
+	urgent := rs.observeLeaving(now, listed.ID, listed.Incarnation, "report", 0)
+	if report.Incarnation != 0 {
+		urgent = rs.observeLeaving(now, listed.ID, report.Incarnation, "report", 0) || urgent
+	}
+	return urgent
+}
+
 // MergeLeaving merges the replicas that leave according to a peer, whose message was delayed
 // by the given time. It reports whether peers must be notified at once.
 func (rs *Replicas) MergeLeaving(now time.Time, peer string, delay time.Duration, all []message.LeavingReplica) bool {
