--- a/core/retry/budgets.go
+++ b/core/retry/budgets.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// Instances returns the number of instances among which the slack is divided.
+func (b *Budgets) Instances() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.instances, minInstances)
+}
+
 // capacity returns the number of retries that the budget of each service holds at
 // most. The caller must hold b.mu.
 func (b *Budgets) capacity() float64 {
--- a/core/retrypolicy/retrypolicy.go
+++ b/core/retrypolicy/retrypolicy.go
@@ -61,6 +61,9 @@
 	attempts, runs int
 }
 
+// Attempts returns the number of upstreams that received the request.
+func (p *Policy) Attempts() int { return p.attempts }
+
 // Runs returns the number of upstreams that may have run the request.
 func (p *Policy) Runs() int { return p.runs }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -212,6 +212,7 @@
 	leaving := scope.Gauge("replicas_leaving")
 	waiting := scope.Gauge("replicas_waiting")
 	blockedParts := scope.Gauge("parts_blocked")
+	sharers := scope.Gauge("retry_sharers")
 	e.updateGauges = func(now time.Time) {
 		if age, ok := e.topics.Proven().Age(now); ok {
 			proofAge.Update(age.Seconds())
@@ -225,6 +226,7 @@
 		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(len(p.LeavingSince(time.Time{})))) })
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
+		sharers.Update(float64(e.retryBudgets.Instances()))
 		for service, left := range e.retryBudgets.Left() {
 			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
 		}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -155,6 +156,9 @@
 	}
 	switch {
 	case !ok:
+		c.relay.Metrics.countAllowedRetry(c.service.Name, f.Reached)
+		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "Allowed another attempt.", "service", c.service.Name, "after", c.summary.replica,
+			"attempts", c.policy.Attempts(), "runs", c.policy.Runs(), "charged", f.Reached, "budget-left", strconv.FormatFloat(c.budget.Left(), 'f', 2, 64))
 		return nil
 	case end.RunState != attempt.NotRun:
 		return c.responseLost()
@@ -302,7 +306,7 @@
 		if c.ctx.Err() == nil {
 			rs.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
 			c.relay.Metrics.countFailedAttempt(pl.Service, "connection")
-			_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "run", att.RunState(), "err", err)
+			_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "run", att.RunState(), "handed-on", c.summary.timeLeft.Round(time.Millisecond), "err", err)
 		}
 		return false, att.RunState(), err
 	}
@@ -314,7 +318,7 @@
 		err = c.checkSoftware(pl)
 	}
 	if err != nil {
-		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "err", err)
+		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "handed-on", c.summary.timeLeft.Round(time.Millisecond), "err", err)
 		c.relay.Metrics.countFailedAttempt(pl.Service, failureName(err))
 		switch {
 		case errors.Is(err, errRefused):
@@ -372,8 +376,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
+	c.summary.timeLeft = c.deadline.Sub(c.relay.Now())
 	c.relay.Dialect.RewriteHeaders(h, adapter.ForwardInfo{
-		Replica: pl.ID, TimeLeft: c.deadline.Sub(c.relay.Now()), Account: c.account.Name,
+		Replica: pl.ID, TimeLeft: c.summary.timeLeft, Account: c.account.Name,
 		Salt: pl.Salt, Version: pl.Version, Priority: c.priority(),
 		Fetch: pl.Fetch, Save: pl.Save, FetchUntil: pl.FetchUntil,
 	})
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -119,6 +119,18 @@
 	m.counter(labels{metric: "tries_denied", service: service}).Inc(1)
 }
 
+// countAllowedRetry counts another attempt that a request of a service was allowed. It is
+// charged to the retry budget if the failed one reached its replica.
+func (m *Metrics) countAllowedRetry(service string, charged bool) {
+	outcome := "free"
+	if charged {
+		outcome = "charged"
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "tries_allowed", service: service, outcome: outcome}).Inc(1)
+}
+
 func (m *Metrics) counter(l labels) tally.Counter {
 	c, ok := m.counters[l]
 	if !ok {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -211,6 +211,8 @@
 	placementTime           time.Duration
 	// blockedPart is the part of the prompt for which the request was refused.
 	blockedPart string
+	// timeLeft is the deadline that the last replica was handed.
+	timeLeft time.Duration
 	// giveUpReason is why the request was not retried.
 	giveUpReason retrypolicy.Reason
 }
@@ -433,7 +435,7 @@
 		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "origin", c.summary.origin, "weights", c.summary.version, "context", c.summary.context,
 		"running", c.summary.estimate.Running, "fill", strconv.FormatFloat(c.summary.estimate.MemoryFill, 'f', 2, 64),
 		"unread", c.summary.estimate.PendingPrefill, "expected", c.summary.estimate.Delay.Round(time.Millisecond), "reading", c.summary.prefillTokens,
-		"tries", c.summary.attempts, "gave-up", c.summary.giveUpReason, "outcome", c.summary.outcome, "status", c.summary.status,
+		"tries", c.summary.attempts, "timeout", c.info.Timeout, "handed-on", c.summary.timeLeft.Round(time.Millisecond), "gave-up", c.summary.giveUpReason, "outcome", c.summary.outcome, "status", c.summary.status,
 		"framing", c.summary.framing, "bytes", c.summary.bytes, "events", c.summary.events, "in-event", c.summary.inEvent, "blocked-part", c.summary.blockedPart,
 		"placed", c.summary.placementTime.Round(time.Millisecond), "first", c.summary.firstByteTime.Round(time.Millisecond),
 		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
