--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -404,5 +404,6 @@
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
 	}
-	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+	// net/http checks that the header is there, not that it has a value.
+	return r.Header["Idempotency-Key"] != nil || r.Header["X-Idempotency-Key"] != nil
 }
