--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -1,9 +1,12 @@
 // Package eventstream follows the bytes of an event stream (text/event-stream), to tell
-// whether the stream ends between two events or inside one.
+// whether the stream ends between two events or inside one, and whether the ids of its
+// events follow one another.
 package eventstream
 
 import (
+	"bytes"
 	"mime"
+	"strconv"
 	"strings"
 )
 
@@ -13,6 +16,9 @@
 // byteOrderMark may precede the first event and belongs to none.
 const byteOrderMark = "\uFEFF"
 
+// maxIDLine bounds the length of a line with an id. A longer one gives no id.
+const maxIDLine = 64
+
 // Scanner follows the bytes of one stream. The zero value is at the start of a stream. It
 // is not safe for concurrent use.
 type Scanner struct {
@@ -26,6 +32,16 @@
 	// afterCR is true if the last byte was a carriage return. A line feed after it belongs
 	// to the same end of line.
 	afterCR bool
+
+	// line is the current line if it may state an id, and id the last id that was stated.
+	// hasID is true if the current event states one.
+	line, id []byte
+	hasID    bool
+	// first and last are the ids of the first and the last complete event that have one.
+	first, last string
+	// skipped and repeated count the events whose number is not the one after that of the
+	// event before.
+	skipped, repeated int
 }
 
 // IsEventStream reports whether the value of a Content-Type header is that of an event
@@ -64,6 +80,11 @@
 		s.endLine()
 	case !s.inLine:
 		s.inLine, s.inComment = true, b == ':'
+		if b == 'i' {
+			s.line = append(s.line, b)
+		}
+	case len(s.line) > 0 && len(s.line) < maxIDLine:
+		s.line = append(s.line, b)
 	}
 	s.afterCR = b == '\r'
 }
@@ -73,13 +94,58 @@
 	switch {
 	case s.inLine && !s.inComment:
 		s.hasFields = true
+		s.readID()
 	case !s.inLine && s.hasFields:
 		s.hasFields = false
 		s.events++
+		s.endEvent()
 	}
 	s.inLine, s.inComment = false, false
 }
 
+// readID takes the id from the current line if it states one.
+func (s *Scanner) readID() {
+	value, ok := bytes.CutPrefix(s.line, []byte("id:"))
+	s.line = s.line[:0]
+	if !ok || len(value) >= maxIDLine-len("id:") {
+		return
+	}
+	s.id, s.hasID = append(s.id[:0], bytes.TrimPrefix(value, []byte(" "))...), true
+}
+
+// endEvent compares the id of an event with that of the event before.
+func (s *Scanner) endEvent() {
+	if !s.hasID {
+		return
+	}
+	s.hasID = false
+	before := s.last
+	s.last = string(s.id)
+	if s.first == "" {
+		s.first = s.last
+	}
+	n, err := strconv.ParseUint(s.last, 10, 64)
+	old, errBefore := strconv.ParseUint(before, 10, 64)
+	switch {
+	case err != nil || errBefore != nil:
+	case n <= old:
+		s.repeated++
+	case n > old+1:
+		s.skipped++
+	}
+}
+
+// Resume makes the stream go on after the event with an id. It must be called before Scan.
+func (s *Scanner) Resume(after string) { s.last = after }
+
+// IDs returns the ids of the first and the last complete event; they are empty if no event
+// has one. The last one is the id given to Resume until the first event is complete.
+func (s *Scanner) IDs() (first, last string) { return s.first, s.last }
+
+// Disorder returns how many events are numbered higher than the one after the event before,
+// and how many not higher than the event before.
+func (s *Scanner) Disorder() (skipped, repeated int) { return s.skipped, s.repeated }
+
 // Events returns the number of complete events.
 func (s *Scanner) Events() int { return s.events }
 
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,9 +22,17 @@
 				t.Fatalf("%s: %v", args[1], err)
 			}
 			var s Scanner
+			if args[0] == "ids" {
+				s.Resume(strings.Trim(args[2], `"`))
+			}
 			for _, part := range strings.Split(text, "|") {
 				s.Scan([]byte(part))
 			}
+			if args[0] == "ids" {
+				first, last := s.IDs()
+				skipped, repeated := s.Disorder()
+				return []string{fmt.Sprintf("%q to %q, skipped %d, repeated %d", first, last, skipped, repeated)}
+			}
 			line := strconv.Itoa(s.Events())
 			if s.InEvent() {
 				line += " inside"
@@ -45,6 +54,9 @@
 		i := int(split % uint(len(stream)+1))
 		parts.Scan(stream[:i])
 		parts.Scan(stream[i:])
+		if fmt.Sprint(whole.IDs()) != fmt.Sprint(parts.IDs()) || fmt.Sprint(whole.Disorder()) != fmt.Sprint(parts.Disorder()) {
+			t.Errorf("%q split at %d: other ids than in one read", stream, i)
+		}
 		events, inside := parse(stream)
 		if whole.Events() != events || whole.InEvent() != inside {
 			t.Errorf("%q: %d events, inside %t; want %d, %t", stream, whole.Events(), whole.InEvent(), events, inside)
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -94,6 +94,13 @@
 	if c.summary.replica != "" {
 		m.histogram(labels{metric: "placed", kind: kind}).RecordDuration(c.summary.placementTime)
 	}
+	skipped, repeated := c.events.Disorder()
+	if skipped > 0 {
+		m.counter(labels{metric: "stream_events_disordered", outcome: "skipped"}).Inc(int64(skipped))
+	}
+	if repeated > 0 {
+		m.counter(labels{metric: "stream_events_disordered", outcome: "repeated"}).Inc(int64(repeated))
+	}
 	if c.summary.firstByteTime > 0 {
 		m.histogram(labels{metric: "first_byte", kind: kind}).RecordDuration(c.summary.firstByteTime)
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 
 	"crocusfold.dev/core/crashbreaker"
+	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/quarantine"
 	"crocusfold.dev/core/retry"
@@ -181,7 +182,9 @@
 	abort bool
 	// endsByClose is true if the response to the caller ends with the connection.
 	endsByClose bool
-	summary     summary
+	// events follows the stream that is passed on.
+	events  eventstream.Scanner
+	summary summary
 }
 
 // summary has what the log line and the metrics of a request are made of.
@@ -431,12 +434,15 @@
 	if c.intent != nil {
 		version = c.intent.Table.Version
 	}
+	firstEvent, lastEvent := c.events.IDs()
+	skipped, repeated := c.events.Disorder()
 	_ = c.relay.Logger.Log("id", c.info.ID, "route", routeName, "account", c.account.Name, "config", version,
 		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "origin", c.summary.origin, "weights", c.summary.version, "context", c.summary.context,
 		"running", c.summary.estimate.Running, "fill", strconv.FormatFloat(c.summary.estimate.MemoryFill, 'f', 2, 64),
 		"unread", c.summary.estimate.PendingPrefill, "expected", c.summary.estimate.Delay.Round(time.Millisecond), "reading", c.summary.prefillTokens,
 		"tries", c.summary.attempts, "timeout", c.info.Timeout, "handed-on", c.summary.timeLeft.Round(time.Millisecond), "gave-up", c.summary.giveUpReason, "outcome", c.summary.outcome, "status", c.summary.status,
-		"framing", c.summary.framing, "bytes", c.summary.bytes, "events", c.summary.events, "in-event", c.summary.inEvent, "blocked-part", c.summary.blockedPart,
+		"framing", c.summary.framing, "bytes", c.summary.bytes, "events", c.summary.events, "in-event", c.summary.inEvent,
+		"first-event", firstEvent, "last-event", lastEvent, "skipped", skipped, "repeated", repeated, "blocked-part", c.summary.blockedPart,
 		"placed", c.summary.placementTime.Round(time.Millisecond), "first", c.summary.firstByteTime.Round(time.Millisecond),
 		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
 }
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -57,7 +57,10 @@
 	}
 	c.summary.status, c.summary.framing = resp.StatusCode, framingOf(resp)
 	stream := eventstream.IsEventStream(resp.Header.Get("Content-Type"))
-	var events eventstream.Scanner
+	c.events = eventstream.Scanner{}
+	if c.resumes() {
+		c.events.Resume(c.info.ResumeAfter)
+	}
 	flush := stream || resp.ContentLength < 0
 	c.setFraming(stream)
 	if stream && resp.StatusCode < http.StatusMultipleChoices {
@@ -74,8 +77,8 @@
 		if n > 0 {
 			c.summary.bytes += int64(n)
 			if stream {
-				events.Scan(buf[:n])
-				c.summary.events, c.summary.inEvent = events.Events(), events.InEvent()
+				c.events.Scan(buf[:n])
+				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
 				firstEvent = c.observeEvents(firstEvent)
 			}
 			_, werr := c.w.Write(buf[:n])
@@ -87,7 +90,7 @@
 				return false
 			}
 		}
-		if err == io.EOF && stream && c.brokeOff(&events) {
+		if err == io.EOF && stream && c.brokeOff() {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -165,12 +168,12 @@
 
 // brokeOff reports whether a stream whose framing is complete was broken off: it ends
 // inside an event, or with its connection before the first one.
-func (c *call) brokeOff(events *eventstream.Scanner) bool {
+func (c *call) brokeOff() bool {
 	if c.r.Method == http.MethodHead {
 		return false
 	}
-	empty := c.summary.framing == byClose && events.Events() == 0 && c.summary.status < http.StatusMultipleChoices
-	return events.InEvent() || empty
+	empty := c.summary.framing == byClose && c.events.Events() == 0 && c.summary.status < http.StatusMultipleChoices
+	return c.events.InEvent() || empty
 }
 
 // resetCaller resets the caller's connection, and reports whether it did. A response that
