Log what tells the ends of unanswered requests apart (LOST)

One case of LOST may be a request read by an instance that is stopping, a kept connection closed as idle with a request on it, a handler that panicked, or a process that ended by itself. The logs could not tell these apart: net/http recovers from a panic and its log was discarded, the line of a request did not say whether the instance was stopping, and nothing showed a connection that was closed as a request arrived, nor the memory of the process. Change: a panic is logged with the request's id; the line of a request has stopping, the time since the signal to stop; the last line of an instance counts open connections and those that a request crossed; the metrics have those of the process (resident memory, start time).

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -16,6 +16,8 @@
 
 // Shutdown is the state of an instance. The zero value is not stopping. It is immutable.
 type Shutdown struct {
+	// Began is when the signal to stop came.
+	Began time.Time
 	// End is when running requests get their final response at the latest; zero unless the
 	// instance is stopping.
 	End time.Time
--- a/entry/callerconns/callerconns.go
+++ b/entry/callerconns/callerconns.go
@@ -16,6 +16,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// crossed is the number of connections on which bytes of a request arrived as they were
+	// closed as idle.
+	crossed int
 }
 
 // conn is a connection of a caller.
@@ -25,7 +28,8 @@
 
 	mu sync.Mutex
 	// idle is true from the end of a response until bytes of the next request arrive.
-	idle, closed bool
+	// crossed is true if such bytes arrived as the connection was closed.
+	idle, closed, crossed bool
 }
 
 // Accept waits for the next connection.
@@ -66,6 +70,20 @@
 	delete(l.conns, c)
 }
 
+func (l *Listener) countCrossed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crossed++
+}
+
+// Crossed returns the number of connections on which bytes of a request arrived as they were
+// closed as idle. Those requests were not served.
+func (l *Listener) Crossed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crossed
+}
+
 // CloseIdle closes the connections that are idle. Those on which no request has arrived yet
 // stay open.
 func (l *Listener) CloseIdle() {
@@ -96,6 +114,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
+		if n > 0 && !c.crossed {
+			c.crossed = true
+			c.listener.countCrossed()
+		}
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
--- a/entry/callerconns/callerconns_test.go
+++ b/entry/callerconns/callerconns_test.go
@@ -57,6 +57,7 @@
 			n, err := conn.Read(make([]byte, 100))
 			is.Equal(errors.Is(err, net.ErrClosed), c.closed)
 			is.Equal(n == 0, c.closed)
+			is.Equal(l.Crossed() == 1, c.closed)
 			l.Observe(conn, http.StateClosed)
 			is.Equal(len(l.conns), 0)
 		})
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
@@ -198,6 +199,7 @@
 // the gauges.
 func (e *Edge) newMetrics() tally.Scope {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{Namespace: "crocusfold"}))
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "crocusfold", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
@@ -423,7 +425,7 @@
 	grace := e.bounds.Bounds().Grace
 	end := start.Add(grace - stopMargin)
 	e.leaving.Store(true)
-	e.relay.BeginShutdown(end.Add(-finalResponseTime))
+	e.relay.BeginShutdown(start, end.Add(-finalResponseTime))
 	e.gossip.Leave()
 	_ = e.logger.Log("msg", "The instance is leaving.", "in-flight", e.relay.InFlight(), "connections", e.openConns.Load())
 	resignCtx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -436,10 +438,11 @@
 		time.Sleep(stopPollInterval)
 	}
 	if e.openConns.Load() > 0 {
-		_ = e.logger.Log("msg", "Requests were still running at the end of the grace period.", "in-flight", e.relay.InFlight())
+		_ = e.logger.Log("msg", "Requests were still running at the end of the grace period.", "in-flight", e.relay.InFlight(), "connections", e.openConns.Load())
 		e.relay.EndRequests()
 		time.Sleep(end.Sub(e.now()))
 	}
+	inFlight, open := e.relay.InFlight(), e.openConns.Load()
 	_ = callerServer.Close()
-	_ = e.logger.Log("msg", "The instance has stopped.")
+	_ = e.logger.Log("msg", "The instance has stopped.", "in-flight", inFlight, "connections", open, "crossed", callers.Crossed())
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -81,7 +83,9 @@
 
 // BeginShutdown closes each caller's connection after the next response on it, and refuses
 // requests that may not complete before the end.
-func (rl *Relay) BeginShutdown(end time.Time) { rl.shutdown.Store(&shutdown.Shutdown{End: end}) }
+func (rl *Relay) BeginShutdown(now, end time.Time) {
+	rl.shutdown.Store(&shutdown.Shutdown{Began: now, End: end})
+}
 
 // EndRequests ends all requests that run. Those without a response get their final one.
 func (rl *Relay) EndRequests() {
@@ -226,6 +230,7 @@
 	rl.inFlight.Add(1)
 	defer rl.inFlight.Add(-1)
 	c := &call{relay: rl, w: w, r: r, began: rl.Now(), attemptedReplicas: map[string]bool{}}
+	defer c.logPanic()
 	// net/http does not say whether a chunked request also had a Content-Length. Such
 	// a request can smuggle a second one, so nothing is read after it.
 	if len(r.TransferEncoding) > 0 {
@@ -252,6 +257,19 @@
 	}
 }
 
+// logPanic logs a panic of the handler, which net/http recovers from. The caller's connection
+// is closed then.
+func (c *call) logPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "Serving a request panicked.", "replica", c.summary.replica, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	}
+	panic(v)
+}
+
 // admit looks up the request's route and account, reads its body and sets its deadline.
 // It returns a refusal if the request may not run.
 func (c *call) admit() *refusal {
@@ -436,6 +454,10 @@
 	}
 	firstEvent, lastEvent := c.events.IDs()
 	skipped, repeated := c.events.Disorder()
+	stopping := ""
+	if s := c.relay.shutdown.Load(); s != nil {
+		stopping = c.began.Sub(s.Began).Round(time.Millisecond).String()
+	}
 	_ = c.relay.Logger.Log("id", c.info.ID, "route", routeName, "account", c.account.Name, "config", version,
 		"proof", c.summary.proofAge.Round(time.Millisecond), "replica", c.summary.replica, "software", c.summary.software, "resumes", c.info.Resumes, "after", c.info.ResumeAfter, "origin", c.summary.origin, "weights", c.summary.version, "context", c.summary.context,
 		"running", c.summary.estimate.Running, "fill", strconv.FormatFloat(c.summary.estimate.MemoryFill, 'f', 2, 64),
@@ -444,5 +466,5 @@
 		"framing", c.summary.framing, "bytes", c.summary.bytes, "events", c.summary.events, "in-event", c.summary.inEvent,
 		"first-event", firstEvent, "last-event", lastEvent, "skipped", skipped, "repeated", repeated, "blocked-part", c.summary.blockedPart,
 		"placed", c.summary.placementTime.Round(time.Millisecond), "first", c.summary.firstByteTime.Round(time.Millisecond),
-		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond))
+		"took", c.relay.Now().Sub(c.began).Round(time.Millisecond), "stopping", stopping)
 }
