Send a peer what was recorded after a later message had been filled

What callers saw: on 88 instances beside load, five instances were never told by their parents that a replica leaves (r12 at three children of one, r8 at two of another); they learnt it 7 to 22 s later from another parent, and one more only by a request of its own 4.3 s later.

Cause: a change was stamped with the time at which its message had arrived, and recorded later, under a lock. If another message to a peer was stamped and filled in between, the peer acknowledged all changes up to a time after the change's, without having had it; it was not sent again. The window is small, and grows with the number of peers and the time that a process waits for a processor. Class: a time taken before the lock that orders it.

A change now counts from the time of the latest message that was filled before it was recorded, if that is later. This holds whatever the delay between the two, also if a process is frozen there.

Evidence: the parent's log has r12 486 ms before it sent its child two other departures without r12.

--- a/core/crashbreaker/crashbreaker.go
+++ b/core/crashbreaker/crashbreaker.go
@@ -93,6 +93,8 @@
 	answered recentTimes
 	// changed is when any record last changed.
 	changed time.Time
+	// sentAt is the time of the latest call of ChangedSince.
+	sentAt time.Time
 }
 
 type record struct {
@@ -236,4 +238,11 @@
 	rec.observedHere = true
 }
 
-func (b *Breaker) markChanged(now time.Time, rec *record) { b.changed, rec.changed = now, now }
+// markChanged marks a record as changed: not before the latest call of ChangedSince, since
+// peers acknowledge all changes up to that.
+func (b *Breaker) markChanged(now time.Time, rec *record) {
+	if now.Before(b.sentAt) {
+		now = b.sentAt
+	}
+	b.changed, rec.changed = now, now
+}
--- a/core/crashbreaker/records.go
+++ b/core/crashbreaker/records.go
@@ -48,6 +48,9 @@
 // returned only by instances that observed a change of it themselves, since a replica
 // may run many requests when it crashes.
 func (b *Breaker) ChangedSince(now, since time.Time) []Record {
+	if now.After(b.sentAt) {
+		b.sentAt = now
+	}
 	if b.changed.Before(since) {
 		return nil
 	}
--- a/core/peering/header.go
+++ b/core/peering/header.go
@@ -12,7 +12,7 @@
 // differs from that of its previous header, or there was no previous one.
 func (pg *Peering) Receive(now time.Time, h Header) (urgent, restarted bool) {
 	for _, e := range h.Members {
-		if pg.members.Merge(now, e) {
+		if pg.members.Merge(later(now, pg.stampedAt), e) {
 			urgent = urgent || e.Status == membership.Left
 		}
 	}
@@ -89,6 +89,7 @@
 // header returns a header for a peer and the moment up to which the peer has acknowledged
 // all changes.
 func (pg *Peering) header(now time.Time, to netip.AddrPort, relation Relation) (h Header, since time.Time) {
+	pg.stampedAt = later(pg.stampedAt, now)
 	h = Header{
 		Name: pg.self.Name, DataCentre: pg.self.DataCentre, Address: pg.self.Address, Relation: relation,
 		Root: pg.plan.Root, Leaving: pg.members.Self.Status == membership.Left,
--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -150,6 +150,9 @@
 	self      membership.Entry
 	process   uint64
 	startedAt time.Time
+	// stampedAt is the time of the latest header. Peers acknowledge all changes of members up
+	// to that time, so that later ones count from then on.
+	stampedAt time.Time
 	// isSeed is true if this instance is one of the seeds.
 	isSeed  bool
 	members membership.Membership
@@ -188,7 +191,7 @@
 }
 
 // Leave marks this instance as having left in what is sent to peers from now on.
-func (pg *Peering) Leave(now time.Time) { pg.members.Leave(now) }
+func (pg *Peering) Leave(now time.Time) { pg.members.Leave(later(now, pg.stampedAt)) }
 
 // PeerID identifies a peer.
 type PeerID struct {
@@ -289,7 +292,7 @@
 func (pg *Peering) sweep(now time.Time) (dropped []netip.AddrPort) {
 	for address, p := range pg.peers {
 		age := now.Sub(later(p.lastReceived, p.addedAt))
-		if p.failures >= unreachableFailures && age > unreachableAfter && pg.members.MarkUnreachable(now, address) {
+		if p.failures >= unreachableFailures && age > unreachableAfter && pg.members.MarkUnreachable(later(now, pg.stampedAt), address) {
 			pg.replan = true
 		}
 		if age > peerRetention {
--- a/entry/replicas/leaving.go
+++ b/entry/replicas/leaving.go
@@ -42,7 +42,7 @@
 func (rs *Replicas) observeLeaving(now time.Time, id string, incarnation int64, source string, age time.Duration) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if !rs.pool.ObserveLeaving(now, id, incarnation) {
+	if !rs.pool.ObserveLeaving(rs.afterFilled(now), id, incarnation) {
 		return false
 	}
 	_ = rs.Logger.Log("msg", "A replica states that it leaves.", "replica", id, "incarnation", incarnation, "source", source, "age", age)
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -52,7 +52,7 @@
 		rs.unmatchedLimits[id] = unmatchedLimit{incarnation, s, now}
 		return false
 	}
-	if rs.pool.ObserveLimit(now, id, incarnation, s) != statedlimit.Urgent {
+	if rs.pool.ObserveLimit(rs.afterFilled(now), id, incarnation, s) != statedlimit.Urgent {
 		return false
 	}
 	_ = rs.Logger.Log("msg", "The limit of a replica changed.", "replica", id, "incarnation", incarnation,
@@ -68,7 +68,7 @@
 		return
 	}
 	delete(rs.unmatchedLimits, r.ID)
-	rs.pool.ObserveLimit(now, r.ID, r.Incarnation, l.Statement)
+	rs.pool.ObserveLimit(rs.afterFilled(now), r.ID, r.Incarnation, l.Statement)
 }
 
 // ObserveInvalidLimit logs a limit that can't be decoded, once for each incarnation.
--- a/entry/replicas/peers.go
+++ b/entry/replicas/peers.go
@@ -22,7 +22,7 @@
 	if rs.loadedAt == nil {
 		rs.loadedAt = map[message.ReplicaVersion]time.Time{}
 	}
-	rs.loadedAt[v] = now
+	rs.loadedAt[v] = rs.afterFilled(now)
 	_ = rs.Logger.Log("msg", "A replica holds new weights.", "replica", v.Replica, "model", v.Model, "version", v.Version)
 }
 
@@ -76,6 +76,7 @@
 	}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	rs.filledAt = rs.afterFilled(now)
 	for model, n := range rs.named {
 		if n.ageKnown {
 			g.NamedVersions = append(g.NamedVersions, message.NamedVersion{Model: model, Version: n.version, Age: now.Sub(n.namedAt)})
@@ -101,3 +102,12 @@
 		}
 	}
 }
+
+// afterFilled returns the time from which a change counts that is recorded now. The caller
+// holds the lock.
+func (rs *Replicas) afterFilled(now time.Time) time.Time {
+	if now.Before(rs.filledAt) {
+		return rs.filledAt
+	}
+	return now
+}
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -96,6 +96,10 @@
 	// loadedAt has the latest changes of weights, which are sent to peers, and the
 	// times at which they were recorded.
 	loadedAt map[message.ReplicaVersion]time.Time
+	// filledAt is the time of the latest message that FillGossip filled. Peers acknowledge all
+	// changes up to that time, so that a change which is recorded later counts from then on,
+	// even if it was observed before.
+	filledAt time.Time
 	// unmatchedLimits has the limits received for incarnations that the list does not have
 	// yet, by replica.
 	unmatchedLimits map[string]unmatchedLimit
