--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -83,7 +83,9 @@
 // askWhichLeaves asks a replica that leaves which incarnation it is: its entry may be of an
 // earlier start. If it does not answer, the next response of that incarnation tells.
 func (rl *Relay) askWhichLeaves(r pool.Replica) {
-	report, err := rl.Control.Report(context.Background(), r.Address)
+	ctx := context.Background()
+	report, err := rl.Control.Report(ctx, r.Address)
+	defer rl.Limits.Charge(ctx, r)
 	if err != nil {
 		_ = rl.Logger.Log("msg", "A replica that leaves did not report which start it is of.", "replica", r.ID, "err", err)
 	}
