--- a/entry/streams/origin.go
+++ b/entry/streams/origin.go
@@ -48,28 +48,28 @@
 	case resolved:
 		return origin, Own
 	case unresolved:
-		return s.onlyVersion(ctx, now, service, window, interval/2)
+		origin, source := s.onlyVersion(ctx, now, service, window, interval/2)
+		if s.restoredWithin(window) {
+			return streamorigin.Origin{}, Unknown
+		}
+		return origin, source
 	case ambiguous:
 		return streamorigin.Origin{}, Unknown
 	}
-	if origin, source := s.first(ctx,
-		func(ctx context.Context) (streamorigin.Origin, Source) {
-			return s.onlyVersion(ctx, now, service, window, interval/2)
-		},
-		func(ctx context.Context) (streamorigin.Origin, Source) {
-			return s.ask(ctx, request, ownersOf(g, digest), digest)
-		},
-	); source != Unknown || request == "" {
+	origin, source := s.find(ctx, request, ownersOf(g, digest), digest, window, func() (streamorigin.Origin, Source) {
+		return s.onlyVersion(ctx, now, service, window, interval/2)
+	})
+	if source != Unknown || request == "" {
 		return origin, source
 	}
 	if err := s.OriginLog.Read(ctx, now, window, instances); err != nil && ctx.Err() == nil {
 		_ = s.Logger.Log("msg", "Reading the origins of streams from the log failed.", "request", request, "err", err)
 	}
 	s.mu.Lock()
-	origin, ok := s.origins.Lookup(digest)
+	logged, ok := s.origins.Lookup(digest)
 	s.mu.Unlock()
 	if ok {
-		return origin, Log
+		return logged, Log
 	}
 	if origin, result := s.resolve(ctx, digest); result == resolved {
 		return origin, Log
@@ -77,27 +77,52 @@
 	return streamorigin.Origin{}, Unknown
 }
 
-// first runs look-ups at the same time, and returns the first origin that one of them finds.
-func (s *Streams) first(ctx context.Context, lookups ...func(ctx context.Context) (streamorigin.Origin, Source)) (streamorigin.Origin, Source) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type result struct {
-		streamorigin.Origin
-		Source
-	}
-	results := make(chan result, len(lookups))
-	for _, lookup := range lookups {
-		go func() {
-			origin, source := lookup(ctx)
-			results <- result{origin, source}
-		}()
-	}
-	for range lookups {
-		if r := <-results; r.Source != Unknown {
-			return r.Origin, r.Source
+// answers is what the owners of a stream said.
+type answers struct {
+	origin streamorigin.Origin
+	source Source
+	// unknown is the number of owners that don't know the origin, this instance included.
+	unknown int
+}
+
+// find asks the owners of the stream that a request began and looks for the only version that
+// can have begun it, and returns the first origin that it finds. A log that came back from a
+// copy may lack a second version, where the instance that began the stream sent the origin to
+// its owners; then most of them must say that they don't know the stream.
+func (s *Streams) find(ctx context.Context, id string, owners []netip.AddrPort, request uint64, window time.Duration, onlyVersion func() (streamorigin.Origin, Source)) (streamorigin.Origin, Source) {
+	asked, only := make(chan answers, 1), make(chan answers, 1)
+	// To cancel a call would close a connection that other calls use.
+	askCtx := context.WithoutCancel(ctx)
+	go func() { asked <- s.ask(askCtx, id, owners, request) }()
+	go func() {
+		origin, source := onlyVersion()
+		only <- answers{origin: origin, source: source}
+	}()
+	var a, o answers
+	select {
+	case a = <-asked:
+		if a.source == Peer {
+			return a.origin, a.source
 		}
+		o = <-only
+	case o = <-only:
+		if o.source == OnlyVersion && !s.restoredWithin(window) {
+			return o.origin, o.source
+		}
+		a = <-asked
 	}
-	return streamorigin.Origin{}, Unknown
+	switch {
+	case a.source == Peer:
+		return a.origin, a.source
+	case o.source == OnlyVersion && s.restoredWithin(window) && a.unknown <= len(owners)/2:
+		return streamorigin.Origin{}, Unknown
+	}
+	return o.origin, o.source
+}
+
+// restoredWithin reports whether the log came back from a copy lately.
+func (s *Streams) restoredWithin(window time.Duration) bool {
+	return s.Topics.RestoredSince(s.Now().Add(-window))
 }
 
 // onlyVersion returns the version of a service if no other one can have begun a stream that
@@ -123,32 +148,41 @@
 	return streamorigin.Origin{Service: service, Version: version}, OnlyVersion
 }
 
-// ask asks the owners of the stream that a request began for its origin at once.
-func (s *Streams) ask(ctx context.Context, id string, owners []netip.AddrPort, request uint64) (streamorigin.Origin, Source) {
+// ask asks the owners of the stream that a request began for its origin at once, and returns
+// when one knows it or all have answered.
+func (s *Streams) ask(ctx context.Context, id string, owners []netip.AddrPort, request uint64) answers {
+	out := answers{source: Unknown}
 	if id == "" {
-		return streamorigin.Origin{}, Unknown
+		return out
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answers := make(chan message.StreamOriginResponse, len(owners))
+	type answer struct {
+		message.StreamOriginResponse
+		err error
+	}
+	received := make(chan answer, len(owners))
 	asked := 0
 	for _, owner := range owners {
 		if owner == s.Self.Address {
+			out.unknown++
 			continue
 		}
 		asked++
 		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
 			resp, err := peerrpc.Call[message.StreamOriginResponse](ctx, s.Endpoint, roster.Member{Name: owner.String(), Address: owner}, message.StreamQuery{Request: request})
-			if err != nil {
-				resp = message.StreamOriginResponse{}
-			}
-			answers <- resp
+			received <- answer{resp, err}
 		}()
 	}
 	for range asked {
-		if a := <-answers; a.Known {
-			return streamorigin.Origin{Service: a.Service, Version: a.Version}, Peer
+		switch a := <-received; {
+		case a.err != nil:
+		case !a.Known:
+			out.unknown++
+		default:
+			out.origin, out.source = streamorigin.Origin{Service: a.Service, Version: a.Version}, Peer
+			return out
 		}
 	}
-	return streamorigin.Origin{}, Unknown
+	return out
 }
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -110,25 +111,32 @@
 			s.merge(s.Now(), m)
 			return message.Ack{}, true, nil
 		case message.StreamQuery:
-			return s.answer(ctx, m.Request), true, nil
+			resp, err := s.answer(ctx, m.Request)
+			return resp, true, err
 		default:
 			return nil, false, nil
 		}
 	})
 }
 
+// errNotVerified means that it is not known which process of a replica began a stream.
+var errNotVerified = errors.New("the replica may have started again with another software version since the stream began")
+
 // answer responds to the query of a peer.
-func (s *Streams) answer(ctx context.Context, request uint64) message.StreamOriginResponse {
+func (s *Streams) answer(ctx context.Context, request uint64) (message.StreamOriginResponse, error) {
 	s.mu.Lock()
 	o, ok := s.origins.Lookup(request)
 	s.mu.Unlock()
 	if ok {
-		return message.StreamOriginResponse{Known: true, Service: o.Service, Version: o.Version}
+		return message.StreamOriginResponse{Known: true, Service: o.Service, Version: o.Version}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	own, result := s.resolve(ctx, request)
-	return message.StreamOriginResponse{Known: result == resolved, Service: own.Service, Version: own.Version}
+	if result != resolved && result != notBegun {
+		return message.StreamOriginResponse{}, errNotVerified
+	}
+	return message.StreamOriginResponse{Known: result == resolved, Service: own.Service, Version: own.Version}, nil
 }
 
 // SetOwners sets the instances among which the owners of streams are chosen, and the number
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -391,6 +391,14 @@
 	t.OnIntent(&in)
 }
 
+// RestoredSince reports whether the log has come back from a copy at a time or later, as far
+// as known.
+func (t *Topics) RestoredSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.restore.at.IsZero() && !t.restore.at.Before(at)
+}
+
 // ReplicasProof returns the latest time as of which the list of replicas is known to be
 // complete, or the zero time if there is none.
 func (t *Topics) ReplicasProof() time.Time {
