Take no process for another one that started at the same time with other software (ORDER)

Seen: a replica comes back under its id with another software version and the start time that it had, as where its clock went back. Streams that begin there before its entry says so go on at the old version: 6 of 6 in fake time (TestPath/resumes/streams-that-began-at-a-replica-that-had-started-twice-at-the-same-time-with-other-software-do-not-go-on-at-the-old-version).

Cause: whether the list still has the process by whose entry a replica was chosen was decided by its start time alone. An entry of another software version now is another process.

--- a/entry/streams/unverified.go
+++ b/entry/streams/unverified.go
@@ -108,9 +108,11 @@
 }
 
 // current returns the entry of an incarnation of a replica; ok is false if it is not listed.
+// The start times of two processes may be equal where a clock went back, so the software
+// version counts too.
 func (s *Streams) current(r pool.Replica) (current pool.Replica, ok bool) {
 	s.Replicas.WithPool(func(p *pool.Pool) { current, ok = p.Replica(r.ID) })
-	return current, ok && current.Incarnation == r.Incarnation
+	return current, ok && current.Incarnation == r.Incarnation && current.Software == r.Software
 }
 
 // verified reports whether a connection is known to lead to the process that the entry of its
