--- a/entry/originlog/originlog.go
+++ b/entry/originlog/originlog.go
@@ -75,12 +75,12 @@
 	var b batch
 	index := map[[2]string]int{}
 	type process struct {
-		service, replica string
-		incarnation      int64
+		service, version, replica string
+		incarnation               int64
 	}
 	processes := map[process]int{}
 	for _, u := range origins.Unverified {
-		key := process{u.Service, u.Replica, u.Incarnation}
+		key := process{u.Service, u.Version, u.Replica, u.Incarnation}
 		i, ok := processes[key]
 		if !ok {
 			i = len(b.Unverified)
--- a/entry/originlog/originlog_test.go
+++ b/entry/originlog/originlog_test.go
@@ -119,3 +119,26 @@
 	is.Equal(len(known), MaxBatch)
 	is.Equal(known[1<<63+401], batch.Unverified[401])
 }
+
+// TestUnverifiedVersions checks that two processes of a replica that started at the same time
+// with different software are kept apart.
+func TestUnverifiedVersions(t *testing.T) {
+	is := is.New(t)
+	j := &journal{era: 1, pageSize: 2}
+	l, _ := newOriginLog(j)
+	versions := map[uint64]string{}
+	l.Merge = func(origins message.StreamOrigins) {
+		for _, u := range origins.Unverified {
+			versions[u.Request] = u.Version
+		}
+	}
+	var batch message.StreamOrigins
+	for n, version := range []string{"v1", "v2"} {
+		batch.Unverified = append(batch.Unverified, message.UnverifiedOrigin{
+			StreamOrigin: message.StreamOrigin{Request: uint64(n), Service: "llm", Version: version}, Replica: "r1", Incarnation: 1,
+		})
+	}
+	is.NoErr(l.Write(context.Background(), batch))
+	is.NoErr(l.Read(context.Background(), time.Now(), time.Minute, 9))
+	is.Equal(versions, map[uint64]string{0: "v1", 1: "v2"})
+}
