--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,13 +26,15 @@
 			now := start.Add(duration(args[1]))
 			switch args[0] {
 			case "end":
-				s = Shutdown{End: now}
+				s.End = now
+			case "late":
+				s.LateFrom = now
 			case "took":
 				d.Observe(now, args[2], duration(args[3]))
 			case "longest":
 				return []string{d.Longest(args[2]).String()}
 			case "accepts":
-				r := Request{Repeatable: args[2] == "repeatable", TimeLeft: duration(args[3]), Longest: d.Longest("r")}
+				r := Request{Repeatable: strings.HasPrefix(args[2], "repeatable"), Streams: strings.HasSuffix(args[2], "stream"), TimeLeft: duration(args[3]), Longest: d.Longest("r")}
 				return []string{fmt.Sprint(s.Accepts(now, r))}
 			case "deadline":
 				return []string{s.Deadline(now).Sub(start).String()}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -28,6 +28,7 @@
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
+	"crocusfold.dev/core/shutdown"
 	"crocusfold.dev/core/topicview"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/callerconns"
@@ -424,14 +425,15 @@
 	start := e.now()
 	grace := e.bounds.Bounds().Grace
 	end := start.Add(grace - stopMargin)
+	lateFrom := start.Add(min(unreadyWait, grace/2))
 	e.leaving.Store(true)
-	e.relay.BeginShutdown(start, end.Add(-finalResponseTime))
+	e.relay.BeginShutdown(shutdown.Shutdown{Began: start, LateFrom: lateFrom, End: end.Add(-finalResponseTime)})
 	e.gossip.Leave()
 	_ = e.logger.Log("msg", "The instance is leaving.", "in-flight", e.relay.InFlight(), "connections", e.openConns.Load())
 	resignCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 	e.leader.Resign(resignCtx)
 	cancel()
-	time.Sleep(min(unreadyWait, grace/2) - e.now().Sub(start))
+	time.Sleep(lateFrom.Sub(e.now()))
 	_ = callers.Close()
 	for e.openConns.Load() > 0 && e.now().Before(end.Add(-finalResponseTime)) {
 		callers.CloseIdle()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -83,9 +83,7 @@
 
 // BeginShutdown closes each caller's connection after the next response on it, and refuses
 // requests that may not complete before the end.
-func (rl *Relay) BeginShutdown(now, end time.Time) {
-	rl.shutdown.Store(&shutdown.Shutdown{Began: now, End: end})
-}
+func (rl *Relay) BeginShutdown(s shutdown.Shutdown) { rl.shutdown.Store(&s) }
 
 // EndRequests ends all requests that run. Those without a response get their final one.
 func (rl *Relay) EndRequests() {
@@ -137,7 +135,7 @@
 	c.relay.mu.Lock()
 	longest := c.relay.durations.Longest(c.route.Name)
 	c.relay.mu.Unlock()
-	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), TimeLeft: c.deadline.Sub(now), Longest: longest}) {
+	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), Streams: c.route.Kind == route.Streaming, TimeLeft: c.deadline.Sub(now), Longest: longest}) {
 		return notRun("instance-stops", stoppingRetry)
 	}
 	c.deadline = s.Deadline(c.deadline)
