Show the session and its store in the explanation of a request

Callers of the own interface found that some returning prompts were computed again; `crocusctl explain` shows for these "0 of 3 blocks held, 0 stored" at each replica. That fits an export that failed, a controller that knows nothing, and a lookup in the wrong place. Change: an explanation has the session that the context is hashed by, and the store that it selects.

--- a/entry/explain/explain.go
+++ b/entry/explain/explain.go
@@ -21,7 +21,11 @@
 	Account  string    `json:"account"`
 	Workload string    `json:"work"`
 	// Offset is the offset of the configuration in force when the request started.
-	Offset   uint64    `json:"offset"`
+	Offset uint64 `json:"offset"`
+	// Session is what the context is hashed by, and Store the name of its affinity store;
+	// both are empty unless the request is a chat completion.
+	Session  string    `json:"session,omitempty"`
+	Store    string    `json:"store,omitempty"`
 	Attempts []Attempt `json:"attempts"`
 	// Outcome is "ok", "caller-left" or an error code.
 	Outcome string `json:"outcome"`
--- a/entry/gateway/chat.go
+++ b/entry/gateway/chat.go
@@ -147,8 +147,10 @@
 	run.fingerprint = quarantine.NewFingerprint([]byte(w.Model + "\x00" + text))
 	run.version = g.chooseVersion(run)
 	run.keys = block.Keys(block.Scope{Account: a.Name, Model: w.Model, Adapter: w.Adapter, Version: run.version}, text)
+	store, _ := cache.SelectStore(run.session, run.view.Stores())
 	run.explanation = explain.Explanation{
 		RequestID: c.id, Instance: g.Settings.Name, Start: c.start, Account: a.Name, Workload: w.Name, Offset: run.view.Offset,
+		Session: run.session, Store: store.Name,
 	}
 	return run, nil
 }
--- a/operator/command/explain.go
+++ b/operator/command/explain.go
@@ -29,6 +29,9 @@
 		return fmt.Errorf("reading the explanation: %w", err)
 	}
 	e.tool.printf("request %s of %s: %s at %s, configuration %d\n", x.RequestID, x.Account, x.Workload, x.Instance, x.Offset)
+	if x.Session != "" {
+		e.tool.printf("session %s, affinity store %s\n", x.Session, x.Store)
+	}
 	for i, at := range x.Attempts {
 		e.tool.printf("attempt %d: %s (%s)\n", i+1, at.Chosen, at.Result)
 		for _, ch := range at.Choices {
