Keep the session of a conversation from its first request on

Callers of the own interface saw: a conversation that begins with one message is computed again at its second request, though its context is cached and stored; README's `make run` failed for such a prompt. Cause: the session, which selects the affinity replicas and the store, was a hash of the first two messages. A first request without a system prompt has one, so the second request looked elsewhere, however much later. Its context was found only where both sessions have the same store or the old replica is among the three that are asked. The same fixed number gave all conversations of an account one session that begin with the same system prompt and greeting. Change: the session is a hash of the messages before the first response to the user, which are the same in all requests of a conversation. Sessions without an id of the caller change, so that during an upgrade instances of both sorts look in different places.

--- a/entry/gateway/chat.go
+++ b/entry/gateway/chat.go
@@ -47,10 +47,22 @@
 	return b.String()
 }
 
-// openingMessages is the number of leading messages that identify a conversation if the
-// caller sends no session id. The first message alone does not suffice, since many
-// conversations have the same system prompt.
-const openingMessages = 2
+// opening returns the number of messages before the first response to the user, all if there
+// is none. Every request of a conversation begins with the same ones. A fixed number does not
+// suffice: a request may have fewer messages than later ones of its conversation, and many
+// conversations have the same system prompt and greeting.
+func (r completionRequest) opening() int {
+	asked := false
+	for i, m := range r.Messages {
+		switch {
+		case m.Role == "user":
+			asked = true
+		case m.Role == "assistant" && asked:
+			return i
+		}
+	}
+	return len(r.Messages)
+}
 
 // session returns a key of the conversation: the account with the caller's session id
 // or, if there is none, with a hash of the opening messages.
@@ -59,7 +71,7 @@
 		return account + "/" + c.session
 	}
 	opening := r
-	opening.Messages = r.Messages[:min(openingMessages, len(r.Messages))]
+	opening.Messages = r.Messages[:r.opening()]
 	return fmt.Sprintf("%s/%x", account, quarantine.NewFingerprint([]byte(opening.promptText())))
 }
 
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -68,6 +68,7 @@
 	"order":    (*runner).order,
 	"chat":     (*runner).chat,
 	"burst":    (*runner).burst,
+	"converse": (*runner).converse,
 	"calls":    (*runner).calls,
 	"fault":    (*runner).fault,
 	"plan":     (*runner).plan,
