Hash sessions, owners and block keys by their bytes, not by their text for the log

Since fingerprints have a String method for the log, `%x` formatted the 12 digits of that text: sessions and the owners of locks were hashed by 6 of 16 bytes, and a change of a log text had moved each of them. Callers saw that `make run` failed for other prompts than before. Change: both use the bytes. MarshalText of a block key, which stores and controllers compare, no longer goes through String either. All other hashes in core, entry, shell and platform take bytes, names, or addresses of netip.

--- a/core/block/block.go
+++ b/core/block/block.go
@@ -65,7 +65,7 @@
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
 // MarshalText encodes the key in hexadecimal.
-func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+func (k Key) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, k[:]), nil }
 
 // UnmarshalText decodes a key in hexadecimal. It returns an error unless text is
 // exactly 32 hexadecimal digits.
--- a/entry/gateway/chat.go
+++ b/entry/gateway/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,7 +73,8 @@
 	}
 	opening := r
 	opening.Messages = r.Messages[:r.opening()]
-	return fmt.Sprintf("%s/%x", account, quarantine.NewFingerprint([]byte(opening.promptText())))
+	fp := quarantine.NewFingerprint([]byte(opening.promptText()))
+	return account + "/" + hex.EncodeToString(fp[:])
 }
 
 // chatRun is the state of one chat completion request.
--- a/entry/gateway/session_test.go
+++ b/entry/gateway/session_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"testing"
 
@@ -55,3 +57,9 @@
 		})
 	}
 }
+
+func TestSessionHasTheWholeFingerprint(t *testing.T) {
+	is := is.New(t)
+	sum := sha256.Sum256([]byte("user: lilies\n"))
+	is.Equal(parse(t, user("lilies")).session(call{}, "a"), "a/"+hex.EncodeToString(sum[:16]))
+}
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/hex"
 	"sync"
 	"time"
 
@@ -72,11 +72,14 @@
 	wg.Wait()
 }
 
+// ownerKey returns what the owner of a fingerprint is hashed by.
+func ownerKey(fp quarantine.Fingerprint) string { return "content/" + hex.EncodeToString(fp[:]) }
+
 // Lock obtains, from the owner of a suspected fingerprint, the lock that allows only
 // the request with this id to run. It returns the function that releases the lock, or
 // false if another request holds it or no owner responded.
 func (i *Isolation) Lock(ctx context.Context, fp quarantine.Fingerprint, id string) (func(), bool) {
-	owner, ok := roster.Owner(fmt.Sprintf("content/%x", fp), i.Follower.Live(time.Now()))
+	owner, ok := roster.Owner(ownerKey(fp), i.Follower.Live(time.Now()))
 	if !ok {
 		return nil, false
 	}
