Keep a peer's word of a limit for a start that is numbered lower than the listed one

What callers saw: nothing yet; a replica that starts again while its clock was set back can get its limit's share from an instance too many until a response names the limit there (LIMIT).

The word of a lower start than the listed one was dropped, and one start's word replaced another's. They are now kept for each start, for 30 s as before.

TestLimitOfUnlistedStart failed before, passes now.

--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -17,11 +17,17 @@
 
 // unmatchedLimit is a limit that a peer sent at a time.
 type unmatchedLimit struct {
-	incarnation int64
 	statedlimit.Statement
 	at time.Time
 }
 
+// start is an incarnation of a replica. Incarnations have no order: the clock that numbers
+// them may be set back.
+type start struct {
+	replica     string
+	incarnation int64
+}
+
 // ObserveLimit merges what a response to this instance stated about the limit of its
 // replica. It reports whether peers must be notified at once.
 func (rs *Replicas) ObserveLimit(now time.Time, p *Placement, s statedlimit.Statement) bool {
@@ -45,11 +51,11 @@
 func (rs *Replicas) observeLimit(now time.Time, id string, incarnation int64, s statedlimit.Statement, source string) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if r, ok := rs.pool.Replica(id); !ok || r.Incarnation < incarnation {
+	if r, ok := rs.pool.Replica(id); !ok || r.Incarnation != incarnation {
 		if rs.unmatchedLimits == nil {
-			rs.unmatchedLimits = map[string]unmatchedLimit{}
+			rs.unmatchedLimits = map[start]unmatchedLimit{}
 		}
-		rs.unmatchedLimits[id] = unmatchedLimit{incarnation, s, now}
+		rs.unmatchedLimits[start{id, incarnation}] = unmatchedLimit{s, now}
 		return false
 	}
 	if rs.pool.ObserveLimit(rs.afterFilled(now), id, incarnation, s) != statedlimit.Urgent {
@@ -63,11 +69,12 @@
 // matchLimit applies a limit that was received before its replica was listed. A process
 // that has just started receives the limits before the list.
 func (rs *Replicas) matchLimit(now time.Time, r pool.Replica) {
-	l, ok := rs.unmatchedLimits[r.ID]
-	if !ok || l.incarnation != r.Incarnation {
+	s := start{r.ID, r.Incarnation}
+	l, ok := rs.unmatchedLimits[s]
+	if !ok {
 		return
 	}
-	delete(rs.unmatchedLimits, r.ID)
+	delete(rs.unmatchedLimits, s)
 	rs.pool.ObserveLimit(rs.afterFilled(now), r.ID, r.Incarnation, l.Statement)
 }
 
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -100,9 +100,8 @@
 	// changes up to that time, so that a change which is recorded later counts from then on,
 	// even if it was observed before.
 	filledAt time.Time
-	// unmatchedLimits has the limits received for incarnations that the list does not have
-	// yet, by replica.
-	unmatchedLimits map[string]unmatchedLimit
+	// unmatchedLimits has the limits received for incarnations that the list does not have.
+	unmatchedLimits map[start]unmatchedLimit
 	// clockOffset is the replicas' clock minus the clock of this instance.
 	clockOffset time.Duration
 	clockKnown  bool
@@ -223,9 +222,9 @@
 			delete(rs.loadedAt, v)
 		}
 	}
-	for id, l := range rs.unmatchedLimits {
+	for s, l := range rs.unmatchedLimits {
 		if now.Sub(l.at) > unmatchedTTL {
-			delete(rs.unmatchedLimits, id)
+			delete(rs.unmatchedLimits, s)
 		}
 	}
 }
