Let a new connection be idle before its first request

Cause: net/http counts the time for a header from the moment when a connection is accepted, and takes the part of a line that came before the deadline for a whole line. Change: until its first byte a connection has the idle timeout; the time for the header counts from that byte. An instance that stops closes connections without a request 5 s after they were accepted, as before.

--- a/entry/callerconns/callerconns.go
+++ b/entry/callerconns/callerconns.go
@@ -1,18 +1,24 @@
 // Package callerconns closes idle connections of callers without losing a request that
-// arrives at that moment.
+// arrives at that moment, and lets callers open connections before they have a request.
 package callerconns
 
 import (
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Listener accepts connections of callers and tracks which of them are idle. An http.Server
 // may close a connection as idle after it has read a part of a request, and then serves that
 // request nevertheless. A connection that a Listener closes delivers no more bytes.
+//
+// An http.Server counts the time for a header from the moment when a connection was accepted.
+// If IdleTimeout is set, a new connection may be idle for so long, and HeaderTimeout counts
+// from the first byte.
 type Listener struct {
 	net.Listener
+	HeaderTimeout, IdleTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -25,8 +31,11 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	accepted time.Time
 
 	mu sync.Mutex
+	// fresh is true until the first byte arrives.
+	fresh bool
 	// idle is true from the end of a response until bytes of the next request arrive.
 	// crossed is true if such bytes arrived as the connection was closed.
 	idle, closed, crossed bool
@@ -38,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l}
+	c := &conn{Conn: accepted, listener: l, accepted: time.Now(), fresh: true}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns == nil {
@@ -85,8 +94,8 @@
 }
 
 // CloseIdle closes the connections that are idle. Those on which no request has arrived yet
-// stay open.
-func (l *Listener) CloseIdle() {
+// stay open for HeaderTimeout after they were accepted.
+func (l *Listener) CloseIdle(now time.Time) {
 	l.mu.Lock()
 	conns := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
@@ -94,14 +103,16 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		c.closeIfIdle()
+		c.closeIfIdle(now)
 	}
 }
 
-func (c *conn) closeIfIdle() {
+func (c *conn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.closed {
+	l := c.listener
+	unused := c.fresh && l.IdleTimeout > 0 && now.Sub(c.accepted) >= l.HeaderTimeout
+	if (c.idle || unused) && !c.closed {
 		c.closed = true
 		_ = c.Conn.Close()
 	}
@@ -122,10 +133,25 @@
 	}
 	if n > 0 {
 		c.idle = false
+		if c.fresh && c.listener.IdleTimeout > 0 {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.HeaderTimeout))
+		}
+		c.fresh = false
 	}
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads. Until the first byte arrives, it is that of an
+// idle connection.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle := c.listener.IdleTimeout; c.fresh && idle > 0 && !t.IsZero() {
+		t = c.accepted.Add(idle)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // SetLinger sets the linger option of a TCP connection; it does nothing on others.
 func (c *conn) SetLinger(sec int) error {
 	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
--- a/entry/callerconns/callerconns_test.go
+++ b/entry/callerconns/callerconns_test.go
@@ -1,10 +1,13 @@
 package callerconns
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -51,7 +54,7 @@
 			l.Observe(conn, c.state)
 			go func() {
 				<-held.reading
-				l.CloseIdle()
+				l.CloseIdle(time.Now())
 				close(held.release)
 			}()
 			n, err := conn.Read(make([]byte, 100))
@@ -63,3 +66,41 @@
 		})
 	}
 }
+
+// TestNewConnectionMayBeIdle checks that the time for a header counts from its first byte, and
+// that a header that is then too slow, or a connection that is idle for too long, is closed.
+func TestNewConnectionMayBeIdle(t *testing.T) {
+	const headerTimeout, idleTimeout = 300 * time.Millisecond, time.Second
+	for _, c := range []struct {
+		name        string
+		idle, pause time.Duration
+		served      bool
+	}{
+		{"idle for longer than a header may take", 500 * time.Millisecond, 20 * time.Millisecond, true},
+		{"slow header", 0, 600 * time.Millisecond, false},
+		{"idle for too long", 1500 * time.Millisecond, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			l := &Listener{Listener: ln, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+			server := &http.Server{
+				Handler:           http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+				ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: l.Observe,
+			}
+			go func() { _ = server.Serve(l) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			time.Sleep(c.idle)
+			_, _ = io.WriteString(conn, "GET / HT")
+			time.Sleep(c.pause)
+			_, _ = io.WriteString(conn, "TP/1.1\r\nHost: h.example\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.Equal(err == nil && resp.StatusCode == http.StatusOK, c.served)
+		})
+	}
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -280,7 +280,7 @@
 	peerMux.Handle(peer.Path, e.endpoint.HTTPHandler())
 	internalServers := []*http.Server{{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, {Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}, {Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}}
 	errs := make(chan error, 1+len(internalServers))
-	callers := &callerconns.Listener{}
+	callers := &callerconns.Listener{HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	callerServer.ConnState = func(conn net.Conn, state http.ConnState) {
 		callers.Observe(conn, state)
 		e.countConns(conn, state)
@@ -436,7 +436,7 @@
 	time.Sleep(lateFrom.Sub(e.now()))
 	_ = callers.Close()
 	for e.openConns.Load() > 0 && e.now().Before(end.Add(-finalResponseTime)) {
-		callers.CloseIdle()
+		callers.CloseIdle(time.Now())
 		time.Sleep(stopPollInterval)
 	}
 	if e.openConns.Load() > 0 {
