--- a/core/retry/budgets.go
+++ b/core/retry/budgets.go
@@ -24,7 +24,7 @@
 // safe for concurrent use.
 type Budgets struct {
 	// Share is the number of retries that are allowed per request of a service, and
-	// Slack the number that is allowed on top, over all instances.
+	// Slack the number that is allowed on top, over all instances. SetBounds changes them.
 	Share, Slack float64
 
 	mu        sync.Mutex
@@ -41,7 +41,7 @@
 		if b.byService == nil {
 			b.byService = map[string]*Budget{}
 		}
-		budget = newBudget(max(b.Share*usedShare, minPerRequest), b.capacity(), initialRetries)
+		budget = newBudget(b.perRequest(), b.capacity(), initialRetries)
 		b.byService[name] = budget
 	}
 	return budget
@@ -60,6 +60,24 @@
 	}
 }
 
+// SetBounds changes Share and Slack.
+func (b *Budgets) SetBounds(share, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if share == b.Share && slack == b.Slack {
+		return
+	}
+	b.Share, b.Slack = share, slack
+	for _, budget := range b.byService {
+		budget.setPerRequest(b.perRequest())
+		budget.setCapacity(b.capacity())
+	}
+}
+
+// perRequest returns the number of retries that each request adds. The caller must hold
+// b.mu.
+func (b *Budgets) perRequest() float64 { return max(b.Share*usedShare, minPerRequest) }
+
 // Instances returns the number of instances among which the slack is divided.
 func (b *Budgets) Instances() int {
 	b.mu.Lock()
--- a/core/retry/budgets_test.go
+++ b/core/retry/budgets_test.go
@@ -8,8 +8,8 @@
 	"crocusfold.dev/script"
 )
 
-// TestBudgets runs the commands "instances - COUNT", "request SERVICE COUNT" and
-// "retry SERVICE COUNT", which prints how many of the retries were allowed.
+// TestBudgets runs the commands "instances - COUNT", "slack - COUNT", "request SERVICE COUNT"
+// and "retry SERVICE COUNT", which prints how many of the retries were allowed.
 func TestBudgets(t *testing.T) {
 	script.Run(t, "testdata/budgets.txt", func(*testing.T) func([]string) []string {
 		b := &Budgets{Share: 0.2, Slack: 60}
@@ -18,6 +18,8 @@
 			switch args[0] {
 			case "instances":
 				b.SetInstances(n)
+			case "slack":
+				b.SetBounds(0.2, float64(n))
 			case "request":
 				for range n {
 					b.Service(args[1]).Deposit()
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -38,6 +38,13 @@
 	b.left = min(b.left, capacity)
 }
 
+// setPerRequest sets the number of retries that each further request adds.
+func (b *Budget) setPerRequest(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.PerRequest = n
+}
+
 // Deposit adds PerRequest retries, for one request.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -256,6 +256,7 @@
 func (e *Edge) Reload(cfg edgeconfig.Settings) {
 	old := e.bounds.Bounds()
 	e.bounds.Set(cfg.Bounds)
+	e.retryBudgets.SetBounds(cfg.Bounds.RetryShare, cfg.Bounds.RetrySlack)
 	_ = e.logger.Log("msg", "Read the settings again.", "bounds-changed", old != cfg.Bounds,
 		"addresses-changed", cfg.Front != e.cfg.Front || cfg.Ready != e.cfg.Ready || cfg.Peers != e.cfg.Peers)
 }
