--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -73,6 +73,7 @@
 	mux.HandleFunc("PUT /blocks/{key}", s.put)
 	mux.HandleFunc("GET /blocks/{key}", s.get)
 	mux.HandleFunc("POST /lookup", s.lookup)
+	mux.HandleFunc("GET /stand-in/seen", s.counters)
 	mux.Handle(fault.Path, &s.faults)
 	mux.HandleFunc("POST /stand-in/restart", func(http.ResponseWriter, *http.Request) { s.Restart() })
 	return mux
@@ -187,3 +188,10 @@
 	wait := int(s.transfers.Load()) * s.faults.Get().MillisPerBlock
 	fault.WriteJSON(w, LookupResponse{Blocks: found, WaitMillis: wait})
 }
+
+// counters returns the counters that tests check.
+func (s *Store) counters(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault.WriteJSON(w, map[string]any{"blocks": len(s.blocks)})
+}
