Read the cache events of a new incarnation from its first one

What callers saw is not measured: the controller of a replica that restarted shows 0 blocks held until the replica has had as many cache events as the incarnation before, so that only the affinity replica and the stores help. Cause: the view of a replica's cache went on at the number of the incarnation before. The stand-in hid it, since it went on counting too, and kept the events of lost caches; docs/PLATFORM.md did not say which. Change: each incarnation numbers its own events. After a new incarnation the view is read from the start; events that were asked for with a number of the one before are dropped.

--- a/entry/admission/cacheview.go
+++ b/entry/admission/cacheview.go
@@ -47,10 +47,15 @@
 }
 
 // apply applies events in order. A new incarnation or a gap in the sequence numbers
-// clears the view, since its blocks may have been lost or evicted meanwhile.
+// clears the view, since its blocks may have been lost or evicted meanwhile. Each
+// incarnation numbers its own events, so those of a new one are read from the start.
 func (c *cacheView) apply(evs cacheEvents) {
 	if evs.Incarnation != c.incarnation {
-		*c = cacheView{incarnation: evs.Incarnation, next: c.next}
+		complete := c.next == 0
+		*c = cacheView{incarnation: evs.Incarnation}
+		if !complete {
+			return
+		}
 	}
 	if c.blocks == nil {
 		c.blocks = map[block.Key]bool{}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -170,6 +170,7 @@
 	e.startedAt = now
 	e.cache = map[block.Key]int{}
 	e.insertOrder = nil
+	e.events = nil
 	e.runningRequests = 0
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 }
