Wait in a test until an intent is published, not until its callback runs

Cause: OnIntent is called under the lock, the intent and its proof are published just before that lock is released. The test sent its request after the callback, so that between the two it met the old intent with the old proof. The refusal is right there; the product is not at fault. All three expectations are unchanged.

--- a/entry/relay/proof_test.go
+++ b/entry/relay/proof_test.go
@@ -113,7 +113,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go tp.Run(ctx)
-	<-loaded
+	// An intent is published under the lock under which OnIntent is called.
+	published := func() {
+		<-loaded
+		tp.ReachesLog()
+	}
+	published()
 	rl := &Relay{
 		Bounds: &bounds, Dialect: dialect{}, Topics: tp, Replicas: rs, Budgets: &retry.Budgets{}, Now: now, Logger: log.NewNopLogger(),
 		Metrics: NewMetrics(tally.NoopScope), Crashes: NewCrashes(1),
@@ -133,7 +138,7 @@
 	// The read that was sent a minute ago brings the change and no fresh proof; the next
 	// one would. Both are decoded under the same lock.
 	l.changes <- topicview.Record{Key: "config", Value: []byte("key-a"), Offset: 1}
-	<-loaded
+	published()
 	answer := make(chan string, 1)
 	l.changes <- topicview.Record{Key: "config", Value: []byte("key-b"), Offset: 2}
 	<-decoder.decoding
@@ -141,6 +146,6 @@
 	time.Sleep(100 * time.Millisecond)
 	close(decoder.release)
 	is.Equal(<-answer, `{"error":"configuration-not-proven"}`)
-	<-loaded
+	published()
 	is.Equal(send(), `{"error":"key-unknown"}`)
 }
