--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,7 @@
 	go vet $(PACKAGES)
 	$(STATICCHECK) $(PACKAGES)
 
+# The main path of run is checked on a loopback address of its own.
 test: fmt lint build
+	@scripts/try run 127.20.0.11
 	@scripts/test $(PACKAGES)
