--- a/entry/callerconns/callerconns_test.go
+++ b/entry/callerconns/callerconns_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -81,26 +83,45 @@
 		{"idle for too long", 1500 * time.Millisecond, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			l := &Listener{Listener: ln, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-			server := &http.Server{
-				Handler:           http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-				ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: l.Observe,
-			}
-			go func() { _ = server.Serve(l) }()
-			defer server.Close()
-			conn, err := net.Dial("tcp", ln.Addr().String())
-			is.NoErr(err)
-			defer conn.Close()
-			time.Sleep(c.idle)
-			_, _ = io.WriteString(conn, "GET / HT")
-			time.Sleep(c.pause)
-			_, _ = io.WriteString(conn, "TP/1.1\r\nHost: h.example\r\n\r\n")
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			is.Equal(err == nil && resp.StatusCode == http.StatusOK, c.served)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller, accepted := net.Pipe()
+				ln := make(pipeListener, 1)
+				ln <- accepted
+				l := &Listener{Listener: ln, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+				server := &http.Server{
+					Handler:           http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+					ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: l.Observe,
+				}
+				go func() { _ = server.Serve(l) }()
+				defer server.Close()
+				var wg sync.WaitGroup
+				defer wg.Wait()
+				defer caller.Close()
+				time.Sleep(c.idle)
+				wg.Go(func() {
+					_, _ = io.WriteString(caller, "GET / HT")
+					time.Sleep(c.pause)
+					_, _ = io.WriteString(caller, "TP/1.1\r\nHost: h.example\r\n\r\n")
+				})
+				resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+				is.Equal(err == nil && resp.StatusCode == http.StatusOK, c.served)
+			})
 		})
 	}
 }
+
+// pipeListener accepts the connections that are sent to it.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l pipeListener) Close() error { close(l); return nil }
+
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
