Charge the question which start leaves in the order in which it happens

A deferred call in the middle of the function ran after the notice to peers, and read as if it came before. The call stands at its end now, with the reason for the order.

--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -85,13 +85,14 @@
 func (rl *Relay) askWhichLeaves(r pool.Replica) {
 	ctx := context.Background()
 	report, err := rl.Control.Report(ctx, r.Address)
-	defer rl.Limits.Charge(ctx, r)
 	if err != nil {
 		_ = rl.Logger.Log("msg", "A replica that leaves did not report which start it is of.", "replica", r.ID, "err", err)
 	}
 	if rl.Replicas.ObserveReport(rl.Now(), r, report) {
 		rl.NotifyPeers()
 	}
+	// Peers are notified first, since the grantors may take some time to respond.
+	rl.Limits.Charge(ctx, r)
 }
 
 // observeLimit records the limit that a response states. A response without one shows the
