Count replicas, not their starts, in the gauge of replicas that leave

Cause: since departures are kept for each start of a replica, and a replica that leaves is asked which start it is, the gauge replicas_leaving could count one replica twice; operators read it as a number of replicas. Change: it counts replicas, as the gauge of those that want no requests does. No decision uses it. Evidence: TestSweep has three starts of two replicas and expects 2.

--- a/core/departures/departures.go
+++ b/core/departures/departures.go
@@ -58,6 +58,15 @@
 	return out
 }
 
+// Count returns the number of replicas of which an incarnation leaves.
+func (d *Departures) Count() int {
+	leaving := map[string]bool{}
+	for inc := range d.recordedAt {
+		leaving[inc.replica] = true
+	}
+	return len(leaving)
+}
+
 // Sweep drops the departures that are older than ttl and whose incarnation is not listed.
 func (d *Departures) Sweep(now time.Time, listed func(replica string, number int64) bool) {
 	for inc, at := range d.recordedAt {
--- a/core/departures/departures_test.go
+++ b/core/departures/departures_test.go
@@ -35,6 +35,7 @@
 	d.Record(now, "listed", 1)
 	d.Record(now, "listed", 2)
 	d.Record(now, "gone", 0)
+	is.Equal(d.Count(), 2) // replicas
 	d.Sweep(now.Add(ttl), func(string, int64) bool { return false })
 	is.Equal(len(d.RecordedSince(now)), 3)
 	d.Sweep(now.Add(ttl+time.Second), func(id string, number int64) bool { return id == "listed" && number == 1 })
--- a/core/pool/statements.go
+++ b/core/pool/statements.go
@@ -33,8 +33,11 @@
 // CountWaiting returns the number of replicas that want no requests of this instance now.
 func (p *Pool) CountWaiting(now time.Time) int { return p.waits.Count(now) }
 
-// LeavingSince returns the replicas of which ObserveLeaving recorded at a time or later that
-// they leave.
+// CountLeaving returns the number of replicas of which ObserveLeaving recorded that they leave.
+func (p *Pool) CountLeaving() int { return p.departures.Count() }
+
+// LeavingSince returns the incarnations of which ObserveLeaving recorded at a time or later
+// that they leave.
 func (p *Pool) LeavingSince(since time.Time) []departures.Departure {
 	return p.departures.RecordedSince(since)
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -226,7 +226,7 @@
 		isLeader.Update(gaugeValue(e.leader.IsLeader(now)))
 		e.replicas.WithPool(func(p *pool.Pool) { limitsInForce.Update(float64(p.CountLimited())) })
 		e.replicas.WithPool(func(p *pool.Pool) { waiting.Update(float64(p.CountWaiting(now))) })
-		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(len(p.LeavingSince(time.Time{})))) })
+		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(p.CountLeaving())) })
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
 		sharers.Update(float64(e.retryBudgets.Instances()))
