--- /dev/null
+++ b/entry/edge/metrics.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"crocusfold.dev/core/pool"
+)
+
+// metricsInterval is the interval at which counters are reported.
+const metricsInterval = 2 * time.Second
+
+// newMetrics creates the root scope of the metrics, the handler of the metrics page and
+// the gauges.
+func (e *Edge) newMetrics() tally.Scope {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{Namespace: "crocusfold"}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "crocusfold", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
+	}, metricsInterval)
+	e.metricsPage, e.closeMetrics = reporter.HTTPHandler(), closer
+	proofAge := scope.Gauge("proof_age_seconds")
+	isLeader := scope.Gauge("duty_held")
+	inFlight := scope.Gauge("in_flight")
+	root := scope.Gauge("overlay_root")
+	aliveMembers := scope.Gauge("overlay_living")
+	limitsInForce := scope.Gauge("limits_in_force")
+	leaving := scope.Gauge("replicas_leaving")
+	waiting := scope.Gauge("replicas_waiting")
+	blockedParts := scope.Gauge("parts_blocked")
+	sharers := scope.Gauge("retry_sharers")
+	e.updateGauges = func(now time.Time) {
+		if age, ok := e.topics.Proven().Age(now); ok {
+			proofAge.Update(age.Seconds())
+		}
+		place, alive := e.gossip.OverlayState()
+		root.Update(gaugeValue(place.Root))
+		aliveMembers.Update(float64(alive))
+		isLeader.Update(gaugeValue(e.leader.IsLeader(now)))
+		e.replicas.WithPool(func(p *pool.Pool) { limitsInForce.Update(float64(p.CountLimited())) })
+		e.replicas.WithPool(func(p *pool.Pool) { waiting.Update(float64(p.CountWaiting(now))) })
+		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(p.CountLeaving())) })
+		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
+		inFlight.Update(float64(e.relay.InFlight()))
+		sharers.Update(float64(e.retryBudgets.Instances()))
+		for service, left := range e.retryBudgets.Left() {
+			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
+		}
+	}
+	return scope
+}
+
+// gaugeValue returns 1 for true and 0 for false.
+func gaugeValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// handleMetrics updates the gauges and serves the metrics page.
+func (e *Edge) handleMetrics(w http.ResponseWriter, r *http.Request) {
+	e.updateGauges(e.now())
+	e.metricsPage.ServeHTTP(w, r)
+}
