--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -380,81 +379,9 @@
 	return estimate, true
 }
 
-// excessDelay returns by how much the replica's delay exceeds 1.5 times the median.
-// It decays with time, so that a slow replica gets requests again.
-func (r *replica) excessDelay(now time.Time, median time.Duration) time.Duration {
-	excess := r.meanDelay - median*3/2
-	if excess <= 0 {
-		return 0
-	}
-	return time.Duration(float64(excess) * decay(now, r.meanDelayAt))
-}
-
-// decay returns the weight of an observation by its age, from 1 down to 0.
-func decay(now, at time.Time) float64 {
-	age := float64(now.Sub(at)) / float64(decayTime)
-	return 1 / (1 + age*age)
-}
-
 // medianTTL is how long a computed median delay is used.
 const medianTTL = 50 * time.Millisecond
 
-// delayMedian is the median delay of a service's replicas, computed at a time.
-type delayMedian struct {
-	at    time.Time
-	delay time.Duration
-}
-
-// medianDelay returns the median of the replicas' mean delays, or defaultDelay if
-// none has responded yet.
-func (p *Pool) medianDelay(now time.Time, service string, all []candidate) time.Duration {
-	if m, ok := p.medianDelays[service]; ok && now.Sub(m.at) < medianTTL && !now.Before(m.at) {
-		return m.delay
-	}
-	var delays []time.Duration
-	for _, r := range all {
-		if !r.meanDelayAt.IsZero() {
-			delays = append(delays, r.meanDelay)
-		}
-	}
-	if len(delays) == 0 {
-		return defaultDelay
-	}
-	slices.Sort(delays)
-	if p.medianDelays == nil {
-		p.medianDelays = map[string]delayMedian{}
-	}
-	p.medianDelays[service] = delayMedian{now, delays[len(delays)/2]}
-	return p.medianDelays[service].delay
-}
-
-// coldLimited reports whether a replica is cold and this instance has used up its share
-// of the replica's limit. It refills the budget of the replica.
-func (p *Pool) coldLimited(now time.Time, r *replica, rate float64) bool {
-	if rate <= 0 || !now.Before(r.ColdUntil) {
-		r.coldBudgetAt = time.Time{}
-		return false
-	}
-	share := p.LimitGroup.Share(r.hash, p.maxColdSenders(rate))
-	if share == 0 {
-		return true
-	}
-	if r.coldBudgetAt.IsZero() {
-		r.coldBudget = 1
-	} else {
-		r.coldBudget = min(1, r.coldBudget+now.Sub(r.coldBudgetAt).Seconds()*rate*share)
-	}
-	r.coldBudgetAt = now
-	return r.coldBudget < 1
-}
-
-// maxColdSenders returns the number of instances that may send to a cold replica.
-// Each of them may send one request at once in addition to its share of the rate, so
-// their number is limited to the requests allowed in excess of the rate.
-func (p *Pool) maxColdSenders(rate float64) int {
-	return int((p.ColdOvershoot-1)*rate + p.ColdSlack)
-}
-
 // affinityReplicas returns the indexes of the two replicas that requests with the same
 // context return to, chosen by rendezvous hashing; -1 stands for none.
 func affinityReplicas(key string, all []candidate) (first, second int) {
