Name what a look-up of a stream's origin finds, and say why a restore is checked after it

The type was called answers and also carried the result of the only version's look-up, which asks nobody. The check for a restore looked as if it were in the wrong place: the read that precedes it may be what shows the restore.

--- a/entry/streams/origin.go
+++ b/entry/streams/origin.go
@@ -49,6 +49,7 @@
 		return origin, Own
 	case unresolved:
 		origin, source := s.onlyVersion(ctx, now, service, window, interval/2)
+		// The read of the list may have shown the restore.
 		if s.restoredWithin(window) {
 			return streamorigin.Origin{}, Unknown
 		}
@@ -77,11 +78,12 @@
 	return streamorigin.Origin{}, Unknown
 }
 
-// answers is what the owners of a stream said.
-type answers struct {
+// finding is what a look-up of the origin of a stream has found.
+type finding struct {
 	origin streamorigin.Origin
 	source Source
-	// unknown is the number of owners that don't know the origin, this instance included.
+	// unknown is the number of owners that said that they don't know the origin, this instance
+	// included; 0 if none were asked.
 	unknown int
 }
 
@@ -90,15 +92,15 @@
 // copy may lack a second version, where the instance that began the stream sent the origin to
 // its owners; then most of them must say that they don't know the stream.
 func (s *Streams) find(ctx context.Context, id string, owners []netip.AddrPort, request uint64, window time.Duration, onlyVersion func() (streamorigin.Origin, Source)) (streamorigin.Origin, Source) {
-	asked, only := make(chan answers, 1), make(chan answers, 1)
+	asked, only := make(chan finding, 1), make(chan finding, 1)
 	// To cancel a call would close a connection that other calls use.
 	askCtx := context.WithoutCancel(ctx)
 	go func() { asked <- s.ask(askCtx, id, owners, request) }()
 	go func() {
 		origin, source := onlyVersion()
-		only <- answers{origin: origin, source: source}
+		only <- finding{origin: origin, source: source}
 	}()
-	var a, o answers
+	var a, o finding
 	select {
 	case a = <-asked:
 		if a.source == Peer {
@@ -150,8 +152,8 @@
 
 // ask asks the owners of the stream that a request began for its origin at once, and returns
 // when one knows it or all have answered.
-func (s *Streams) ask(ctx context.Context, id string, owners []netip.AddrPort, request uint64) answers {
-	out := answers{source: Unknown}
+func (s *Streams) ask(ctx context.Context, id string, owners []netip.AddrPort, request uint64) finding {
+	out := finding{source: Unknown}
 	if id == "" {
 		return out
 	}
