Send crash records the shortest way, and take none back that were evicted (storm)

Cause: while a fifth of the replicas reset connections, 1,400 crashes left 4,000 records of requests and parts of prompts, twice as many as an instance keeps. Each instance passed each change on to all its peers, retracted what others had retracted already, and took evicted records back from them. Change: a record goes from the instance that observed it to its parent and from there to all roots, to children once it has two crashes, and to all by all ways once it blocks. A retraction that others find out by themselves is not passed on, unless another instance blocks because of it. A record that is older than those evicted is not taken. The crash record on the platform is written only if it counts something new.

--- a/core/crashbreaker/crashbreaker.go
+++ b/core/crashbreaker/crashbreaker.go
@@ -34,6 +34,8 @@
 	// maxRecords and maxPending bound the records and the pending runs in memory.
 	maxRecords = 2000
 	maxPending = 2000
+	// evictionClasses is the number of classes of records by their crashes: 0, 1, or more.
+	evictionClasses = 3
 	// maxPersisted bounds the records in this instance's record on the platform.
 	maxPersisted = 200
 )
@@ -95,16 +97,21 @@
 	changed time.Time
 	// sentAt is the time of the latest call of ChangedSince.
 	sentAt time.Time
+	// evictedUntil has, by the number of crashes (0, 1, or more), the time of the newest
+	// crash of an evicted record.
+	evictedUntil [evictionClasses]time.Time
 }
 
 type record struct {
 	Record
-	// changed is when the record last changed on this instance, and observedHere is
-	// true if any of its changes came from a run of this instance.
-	changed      time.Time
-	observedHere bool
+	// changed is when the record last changed on this instance, and ownChanged when it last
+	// did because of a run of this instance or a message of a child in the overlay.
+	changed, ownChanged time.Time
 	// lastObserved is the time of the newest crash that this instance observed.
 	lastObserved time.Time
+	// disputed is true if another instance blocked the fingerprint because of crashes that do
+	// not count here.
+	disputed bool
 	// trial is the id of the request that may run alone until trialUntil.
 	trial      string
 	trialUntil time.Time
@@ -167,8 +174,8 @@
 	} else {
 		rec.Crashes = append(rec.Crashes, crash)
 	}
-	b.markChanged(now, rec)
-	rec.observedHere, rec.lastObserved = true, now
+	b.markOwnChange(now, rec)
+	rec.lastObserved = now
 }
 
 // DigestReplica returns a hash that identifies an incarnation of a replica.
@@ -189,9 +196,9 @@
 		for i := range rec.Crashes {
 			c := &rec.Crashes[i]
 			if c.ReplicaDigest == digest && !c.Retracted && firstUse.Before(c.At) && now.Sub(c.At) > responseMargin {
+				blocked := rec.tripped()
 				c.Retracted, retracted = true, true
-				b.markChanged(now, rec)
-				rec.observedHere = true
+				b.markRetracted(now, rec, blocked)
 			}
 		}
 	}
@@ -234,8 +241,7 @@
 	if !ok || !rec.clearUntil(sentAt) {
 		return
 	}
-	b.markChanged(now, rec)
-	rec.observedHere = true
+	b.markOwnChange(now, rec)
 }
 
 // markChanged marks a record as changed: not before the latest call of ChangedSince, since
@@ -246,3 +252,21 @@
 	}
 	b.changed, rec.changed = now, now
 }
+
+// markOwnChange marks a record as changed because of a run of this instance or of one below
+// it.
+func (b *Breaker) markOwnChange(now time.Time, rec *record) {
+	b.markChanged(now, rec)
+	rec.ownChanged = rec.changed
+}
+
+// markRetracted marks a record as changed by a retraction. Each instance finds out by itself
+// that a crash does not count, so only those that passed the crash on, or that blocked the
+// fingerprint because of it, pass the retraction on.
+func (b *Breaker) markRetracted(now time.Time, rec *record, blocked bool) {
+	if blocked || !rec.ownChanged.IsZero() {
+		b.markOwnChange(now, rec)
+		return
+	}
+	b.markChanged(now, rec)
+}
--- a/core/crashbreaker/crashbreaker_test.go
+++ b/core/crashbreaker/crashbreaker_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/quarantine"
 	"crocusfold.dev/script"
 )
@@ -107,11 +108,15 @@
 	case "answered":
 		b.RecordAnswered(at(args[1]), fingerprints(args[2:]))
 	case "merge-changes":
-		return []string{strconv.FormatBool(b.Merge(at(args[1]), parseRecord(args[2], args[3:])))}
+		return []string{strconv.FormatBool(b.Merge(at(args[1]), parseRecord(args[2], args[3:]), peering.RootPeer))}
 	case "merge-part":
-		b.Merge(at(args[1]), parsePart(args[2], args[3:]))
+		b.Merge(at(args[1]), parsePart(args[2], args[3:]), peering.RootPeer)
 	case "merge-part-changes":
-		return []string{strconv.FormatBool(b.Merge(at(args[1]), parsePart(args[2], args[3:])))}
+		return []string{strconv.FormatBool(b.Merge(at(args[1]), parsePart(args[2], args[3:]), peering.RootPeer))}
+	case "merge-part-of-child":
+		b.Merge(at(args[1]), parsePart(args[2], args[3:]), peering.Child)
+	case "changed-since-for-child":
+		return format(b.ChangedSince(at(args[1]), at(args[1]), peering.Parent))
 	case "check":
 		return formatVerdict(b.Check(at(args[1]), fingerprints(args[2:])...), args[2:])
 	case "admit-parts":
@@ -129,7 +134,7 @@
 	case "success":
 		b.RecordSuccess(at(args[1]), fingerprint(args[2]), at(args[3]))
 	case "merge":
-		b.Merge(at(args[1]), parseRecord(args[2], args[3:]))
+		b.Merge(at(args[1]), parseRecord(args[2], args[3:]), peering.RootPeer)
 	case "blocked":
 		_, blocked := b.Blocked(at(args[1]), fingerprint(args[2]))
 		return []string{strconv.FormatBool(blocked)}
@@ -138,7 +143,7 @@
 	case "crash-count":
 		return []string{strconv.Itoa(b.CrashCount(fingerprint(args[1])))}
 	case "changed-since":
-		return format(b.ChangedSince(at(args[1]), at(args[1])))
+		return format(b.ChangedSince(at(args[1]), at(args[1]), peering.RootPeer))
 	case "to-persist":
 		return format(b.ToPersist(at(args[1])))
 	case "sweep":
@@ -182,14 +187,14 @@
 		for range 2 {
 			for i := range instances {
 				for j := range instances {
-					for _, rec := range instances[i].ChangedSince(at("2"), time.Time{}) {
-						instances[j].Merge(at("2"), rec)
+					for _, rec := range instances[i].ChangedSince(at("2"), time.Time{}, peering.RootPeer) {
+						instances[j].Merge(at("2"), rec, peering.RootPeer)
 					}
 				}
 			}
 		}
 		for i := range instances {
-			if got := format(instances[i].ChangedSince(at("2"), time.Time{})); len(got) != 1 || got[0] != "a 3" {
+			if got := format(instances[i].ChangedSince(at("2"), time.Time{}, peering.RootPeer)); len(got) != 1 || got[0] != "a 3" {
 				t.Errorf("first %d: instance %d has %v, want [a 3]", first, i, got)
 			}
 		}
@@ -217,7 +222,7 @@
 func BenchmarkChangedSince(b *testing.B) {
 	full := fullBreaker()
 	for b.Loop() {
-		full.ChangedSince(at("2"), at("1"))
+		full.ChangedSince(at("2"), at("1"), peering.RootPeer)
 	}
 }
 
--- a/core/crashbreaker/fleet_test.go
+++ b/core/crashbreaker/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/quarantine"
 )
 
@@ -68,6 +69,8 @@
 	late          int
 	before, after tally
 	disturbs      bool
+	// recordsSent is the number of records that instances have sent to each other.
+	recordsSent int
 }
 
 // tally counts the sound requests that were sent, and those that began.
@@ -337,14 +340,26 @@
 // in the next step.
 func (f *fleet) tell(from, to *modelInstance, i, j int) {
 	delay := time.Duration(f.rnd.IntN(15)) * time.Millisecond
-	for _, rec := range from.breaker.ChangedSince(f.now, from.exchanged[j]) {
+	for _, rec := range from.breaker.ChangedSince(f.now, from.exchanged[j], f.relation(from, to, i, j)) {
+		f.recordsSent++
 		for k := range rec.Crashes {
 			c := &rec.Crashes[k]
 			c.At, c.SentAt = c.At.Add(delay), c.SentAt.Add(delay)
 		}
-		if to.breaker.Merge(f.now, rec) {
+		if to.breaker.Merge(f.now, rec, f.relation(from, to, i, j)) {
 			to.next = minTime(to.next, f.now.Add(step))
 		}
 	}
 	from.exchanged[j] = f.now
 }
+
+// relation returns the position of an instance in the overlay, relative to another one.
+func (f *fleet) relation(from, to *modelInstance, i, j int) peering.Relation {
+	switch {
+	case from.parent == j:
+		return peering.Child
+	case to.parent == i:
+		return peering.Parent
+	}
+	return peering.RootPeer
+}
--- a/core/crashbreaker/parts.go
+++ b/core/crashbreaker/parts.go
@@ -29,9 +29,10 @@
 		if !ok {
 			continue
 		}
-		unblocked = unblocked || rec.tripped()
+		ended := rec.tripped()
+		unblocked = unblocked || ended
 		if rec.retractUntil(now) {
-			b.markChanged(now, rec)
+			b.markRetracted(now, rec, ended)
 		}
 		rec.ClearedUntil = now
 	}
--- a/core/crashbreaker/records.go
+++ b/core/crashbreaker/records.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/quarantine"
 )
 
@@ -13,12 +14,65 @@
 // since each instance would pass on what the others add.
 const clockTolerance = 250 * time.Millisecond
 
-// Merge merges a record of another instance, and reports whether that changed
-// anything.
-func (b *Breaker) Merge(now time.Time, remote Record) bool {
+// Merge merges a record of another instance, and reports whether that changed anything.
+// The argument from is the position of that instance in the overlay, relative to this one.
+func (b *Breaker) Merge(now time.Time, remote Record, from peering.Relation) bool {
+	if b.evictedBefore(remote) {
+		return false
+	}
+	disputed := b.disputes(remote)
+	changed := false
+	if remote.Part {
+		changed = b.mergePart(now, remote)
+	} else {
+		changed = b.mergeRequest(now, remote)
+	}
+	rec, ok := b.records[remote.Fingerprint]
+	if !ok {
+		return changed
+	}
+	if disputed {
+		rec.disputed, changed = true, true
+		b.markChanged(now, rec)
+	}
+	if changed && from == peering.Child {
+		b.markOwnChange(now, rec)
+	}
+	return changed
+}
+
+// disputes reports whether another instance blocks a fingerprint because of crashes that do
+// not count here.
+func (b *Breaker) disputes(remote Record) bool {
+	if !(&record{Record: remote}).tripped() {
+		return false
+	}
+	var cleared time.Time
 	if remote.Part {
-		return b.mergePart(now, remote)
+		cleared = b.answered.get(remote.Fingerprint)
+	}
+	rec := b.records[remote.Fingerprint]
+	if rec != nil && rec.ClearedUntil.After(cleared) {
+		cleared = rec.ClearedUntil
+	}
+	for _, c := range remote.Crashes {
+		if c.Retracted {
+			continue
+		}
+		if !c.At.After(cleared) {
+			return true
+		}
+		if rec == nil {
+			continue
+		}
+		if known := rec.crash(c); known != nil && known.Retracted {
+			return true
+		}
 	}
+	return false
+}
+
+func (b *Breaker) mergeRequest(now time.Time, remote Record) bool {
 	rec := b.record(now, remote.Fingerprint)
 	changed := false
 	for _, c := range remote.Crashes {
@@ -43,11 +97,13 @@
 	return changed
 }
 
-// ChangedSince returns the records that changed at or after a time, for a peer
-// that has all changes before it. A whole request's record of at most one crash is
-// returned only by instances that observed a change of it themselves, since a replica
-// may run many requests when it crashes.
-func (b *Breaker) ChangedSince(now, since time.Time) []Record {
+// ChangedSince returns the records that changed at or after a time, for a peer that has all
+// changes before it. The argument relation is the position of this instance in the overlay,
+// relative to the peer. A crash hits many requests and parts, most of which are harmless, so
+// that a record takes the shortest way to where it can add up with others: from the instance
+// that observed it to its parent, and from there to all roots. Instances below these get it
+// if it has several crashes. That of a blocked fingerprint goes to all by all ways.
+func (b *Breaker) ChangedSince(now, since time.Time, relation peering.Relation) []Record {
 	if now.After(b.sentAt) {
 		b.sentAt = now
 	}
@@ -56,13 +112,25 @@
 	}
 	var out []Record
 	for _, rec := range b.records {
-		if !rec.changed.Before(since) && (rec.Part || rec.observedHere || rec.crashCount() > 1) && !rec.expired(now) {
+		if !rec.changed.Before(since) && rec.sendTo(relation, since) && !rec.expired(now) {
 			out = append(out, rec.copy())
 		}
 	}
 	return out
 }
 
+// sendTo reports whether a peer that has all changes before the time since needs the record,
+// by the position of this instance relative to the peer.
+func (r *record) sendTo(relation peering.Relation, since time.Time) bool {
+	switch {
+	case r.tripped() || r.disputed:
+		return true
+	case relation == peering.Parent:
+		return r.crashCount() > 1
+	}
+	return !r.ownChanged.IsZero() && !r.ownChanged.Before(since)
+}
+
 // ToPersist returns the records that must outlive all instances: those with more
 // than one crash, the ones with the most crashes first, at most maxPersisted.
 func (b *Breaker) ToPersist(now time.Time) []Record {
@@ -100,21 +168,53 @@
 	return rec
 }
 
-// evict deletes the expired records, or, if there are none, the least recently
-// changed one of those with the fewest crashes.
+// evict deletes the expired records or, if there are none, the one with the oldest newest
+// crash of those with the fewest crashes.
 func (b *Breaker) evict(now time.Time) {
 	var least *record
 	for fp, rec := range b.records {
-		switch {
-		case rec.expired(now):
+		if rec.expired(now) {
 			delete(b.records, fp)
-		case least == nil || rec.crashCount() < least.crashCount() || rec.crashCount() == least.crashCount() && rec.changed.Before(least.changed):
+			continue
+		}
+		if least == nil || cmp.Or(cmp.Compare(rec.crashCount(), least.crashCount()), rec.newest().Compare(least.newest())) < 0 {
 			least = rec
 		}
 	}
-	if len(b.records) >= maxRecords {
-		delete(b.records, least.Fingerprint)
+	if len(b.records) < maxRecords {
+		return
+	}
+	delete(b.records, least.Fingerprint)
+	class := least.evictionClass()
+	if at := least.newest(); at.After(b.evictedUntil[class]) {
+		b.evictedUntil[class] = at
+	}
+}
+
+// evictedBefore reports whether this instance had to evict records that are newer than a
+// remote record which it does not hold, and that have as many crashes. Taking such a record
+// would evict another, and instances with more records than fit would send each other
+// evicted ones without end.
+func (b *Breaker) evictedBefore(remote Record) bool {
+	if _, ok := b.records[remote.Fingerprint]; ok || len(b.records) < maxRecords {
+		return false
+	}
+	return !remote.newest().After(b.evictedUntil[remote.evictionClass()].Add(clockTolerance))
+}
+
+// evictionClass returns the class of a record in Breaker.evictedUntil.
+func (r *Record) evictionClass() int { return min(r.crashCount(), evictionClasses-1) }
+
+// newest returns the time of the newest crash, also of a retracted one, or ClearedUntil if
+// there is none.
+func (r *Record) newest() time.Time {
+	at := r.ClearedUntil
+	for _, c := range r.Crashes {
+		if c.At.After(at) {
+			at = c.At
+		}
 	}
+	return at
 }
 
 // crash returns the entry of this record for the same crash as other, or nil.
@@ -128,7 +228,7 @@
 }
 
 // crashCount returns the number of crashes that are not retracted.
-func (r *record) crashCount() int {
+func (r *Record) crashCount() int {
 	n := 0
 	for _, c := range r.Crashes {
 		if !c.Retracted {
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
 	"crocusfold.dev/core/crashbreaker"
+	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/quarantine"
 	"crocusfold.dev/core/topicview"
@@ -54,6 +57,8 @@
 	loaded bool
 	// unsaved is signalled when the crash record has to be written.
 	unsaved chan struct{}
+	// written has what the crash record on the platform counts; nil if that is not known.
+	written *string
 }
 
 // NewCrashes returns Crashes with no recorded crashes. The seed should differ between instances,
@@ -71,7 +76,7 @@
 		for _, crash := range c.Crashes {
 			rec.Crashes = append(rec.Crashes, crashFrom(now, crash))
 		}
-		changed = cr.merge(now, rec, "peer") || changed
+		changed = cr.merge(now, rec, m.Relation, "peer") || changed
 	}
 	for _, c := range m.PartCrashes {
 		rec := crashbreaker.Record{Fingerprint: c.Fingerprint, Part: true, ClearedUntil: clearedUntil(now, c.ClearedAge)}
@@ -80,7 +85,7 @@
 			received.SentAt, received.Request = now.Add(-crash.SentAge), crash.Request
 			rec.Crashes = append(rec.Crashes, received)
 		}
-		changed = cr.merge(now, rec, "peer") || changed
+		changed = cr.merge(now, rec, m.Relation, "peer") || changed
 	}
 	return changed
 }
@@ -99,11 +104,12 @@
 }
 
 // merge merges one record, and reports whether that changed something that other
-// instances need at once. The argument from says in the log where the record came from.
-func (cr *Crashes) merge(now time.Time, rec crashbreaker.Record, from string) bool {
+// instances need at once. The argument relation is the position of the sender in the overlay,
+// and from says in the log where the record came from.
+func (cr *Crashes) merge(now time.Time, rec crashbreaker.Record, relation peering.Relation, from string) bool {
 	cr.mu.Lock()
 	_, before := cr.breaker.Blocked(now, rec.Fingerprint)
-	changed := cr.breaker.Merge(now, rec)
+	changed := cr.breaker.Merge(now, rec, relation)
 	until, blocked := cr.breaker.Blocked(now, rec.Fingerprint)
 	cr.mu.Unlock()
 	if !changed {
@@ -132,7 +138,7 @@
 func (cr *Crashes) FillGossip(now time.Time, m *message.Gossip, since time.Time) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	for _, rec := range cr.breaker.ChangedSince(now, since) {
+	for _, rec := range cr.breaker.ChangedSince(now, since, m.Relation) {
 		clearedAge := time.Duration(-1)
 		if !rec.ClearedUntil.IsZero() {
 			clearedAge = now.Sub(rec.ClearedUntil)
@@ -341,7 +347,7 @@
 				}
 				rec.Crashes = append(rec.Crashes, merged)
 			}
-			cr.merge(now, rec, "platform")
+			cr.merge(now, rec, peering.Unrelated, "platform")
 		}
 	}
 	cr.mu.Lock()
@@ -352,6 +358,9 @@
 // WriteAgain requests that the crash record is written again, since the platform's log may
 // have lost it. It does nothing if there are no crashes.
 func (cr *Crashes) WriteAgain() {
+	cr.mu.Lock()
+	cr.written = nil
+	cr.mu.Unlock()
 	if !cr.empty() {
 		cr.requestWrite()
 	}
@@ -393,8 +402,9 @@
 	cr.breaker.Sweep(now)
 }
 
-// write writes this instance's crash record. It returns an error if the records on the
-// platform are not merged yet or Put fails.
+// write writes this instance's crash record, unless it would count the same as the last one:
+// most retractions are of single crashes, which are not in it. It returns an error if the
+// records on the platform are not merged yet or Put fails.
 func (cr *Crashes) write(ctx context.Context) error {
 	now, wall := cr.Now(), time.Now()
 	cr.mu.Lock()
@@ -423,6 +433,13 @@
 		}
 		p.Fingerprints = append(p.Fingerprints, c)
 	}
+	counted := p.counted()
+	cr.mu.Lock()
+	same := cr.written != nil && counted == *cr.written
+	cr.mu.Unlock()
+	if same {
+		return nil
+	}
 	raw, err := json.Marshal(p)
 	if err != nil {
 		return fmt.Errorf("encoding the crash record: %w", err)
@@ -430,5 +447,23 @@
 	if err := cr.Put(ctx, raw); err != nil {
 		return fmt.Errorf("writing the crash record: %w", err)
 	}
+	cr.mu.Lock()
+	cr.written = &counted
+	cr.mu.Unlock()
 	return nil
 }
+
+// counted lists the crashes in the record without their times, which are computed anew from
+// the clock at each write, and the time of the last success in seconds.
+func (p persistedRecord) counted() string {
+	lines := make([]string, 0, len(p.Fingerprints))
+	for _, f := range p.Fingerprints {
+		line := fmt.Sprintf("%x %d", f.Fingerprint, f.Cleared.Unix())
+		for _, c := range f.Crashes {
+			line += fmt.Sprintf(" %x/%d", c.ReplicaDigest, c.Seq)
+		}
+		lines = append(lines, line)
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
