Decode the slowdown that replicas state, the stride of engines and where requests compete

Cause: the choice of a replica knows neither how fast a replica's machine is now nor how many batch steps an event takes, and it must not change where nobody asks for that. No decision uses them yet.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -99,7 +99,10 @@
 	// ContextTokens is the capacity of an engine's KV cache in tokens, TokenBytes the
 	// size of the context (KV cache) of one token.
 	ContextTokens, TokenBytes int
-	Models                    []string
+	// Stride is the number of batch steps that an event of a response takes; 0 if not
+	// stated.
+	Stride int
+	Models []string
 }
 
 // Store describes a store of context (KV cache).
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -202,6 +202,9 @@
 	HasLoad bool
 	// Running and Waiting are the numbers of requests that run and wait at the replica.
 	Running, Waiting int
+	// Slowdown is how many times longer than usual work takes on the replica's machine now;
+	// 0 if not stated.
+	Slowdown float64
 	// Version is the weight version that the replica holds; 0 if not stated.
 	Version int
 	// Limit is the number of requests per second that the replica takes from all
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -55,7 +55,11 @@
 	Seeds []netip.AddrPort
 	// LogRates is what the platform's log takes from all instances together.
 	LogRates writeshare.Rates
-	Bounds   Bounds
+	// Contended is true if requests of all services compete for replicas, so that the choice
+	// of a replica takes the whole response into account. If not, that depends on what the
+	// replicas of a service state.
+	Contended bool
+	Bounds    Bounds
 }
 
 // LiveBounds holds the bounds in force, which change when the settings are reloaded. All
