Choose replicas by the times of the first and the last event where requests compete for them

Cause: a replica was chosen by the delay of the first event alone. Change: core/answertime estimates both times from the load of a replica and its speed (stated within 300 ms, weighted by age), with priors only for now. core/pool adds how likely each of them comes too late, and the delay of the new prompt for the streams that run there. Only services of which a replica stated its slowdown, or all services of a deployment with Settings.Contended, are placed so.

--- /dev/null
+++ b/core/pool/answer.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"crocusfold.dev/core/answertime"
+)
+
+// Weights of the choice for services whose requests compete for replicas. They are the delays
+// of a first event that a caller would accept to avoid the effect.
+const (
+	// lateDelay is added for a response that ends after its deadline or starts after its
+	// target, and in part if that is likely. The largest of the sites' targets is 1.5 s.
+	lateDelay = 2 * time.Second
+	// eventsWeight is the weight of the time after the first event. It counts little as long
+	// as the deadline is met.
+	eventsWeight = 0.1
+	// othersWeight is the weight of the delay of each stream that runs at the replica and
+	// whose deadline is not known.
+	othersWeight = 0.1
+)
+
+// contended reports whether requests of a service compete for replicas, so that replicas are
+// chosen by the whole response.
+func (p *Pool) contended(service string) bool { return p.Contended || p.stating[service] }
+
+// ObserveSlowdown records how many times longer than usual work takes at a replica, as it
+// stated; 0 if it stated nothing.
+func (p *Pool) ObserveSlowdown(now time.Time, id string, slowdown float64) {
+	r, ok := p.replicas[id]
+	if !ok || slowdown <= 0 {
+		return
+	}
+	if p.stating == nil {
+		p.stating = map[string]bool{}
+	}
+	p.stating[r.Service] = true
+	r.speed.State(now, slowdown)
+}
+
+// timesOf returns the times of a service's responses.
+func (p *Pool) timesOf(service string) *answertime.Times {
+	t, ok := p.times[service]
+	if !ok {
+		if p.times == nil {
+			p.times = map[string]*answertime.Times{}
+		}
+		t = &answertime.Times{}
+		p.times[service] = t
+	}
+	return t
+}
+
+// answer returns the expected times of a request's response at a replica that runs a number
+// of requests.
+func (p *Pool) answer(now time.Time, req Request, r *replica, load Load, running int) answertime.Estimate {
+	t := p.timesOf(req.Service)
+	t.SetStride(req.Stride)
+	return t.Estimate(now, &r.speed, answertime.Answer{
+		Load:     answertime.Load{Running: running + 1, PendingPrefill: load.PendingPrefill + req.PrefillTokens},
+		Transfer: load.PendingTransfer + transferTime(req.Transfers, r.DataCentre),
+		Waiting:  max(0, running-r.Slots+1), Slots: r.Slots, Events: req.Events,
+	})
+}
+
+// answerCost returns the cost of a response that is expected at given times, as a delay.
+func (p *Pool) answerCost(now time.Time, req Request, r *replica, running int, e answertime.Estimate) time.Duration {
+	cost := e.First + time.Duration(eventsWeight*float64(e.Last-e.First))
+	cost += time.Duration((lateness(now, e.First, req.Target) + lateness(now, e.Last, req.Deadline)) * float64(lateDelay))
+	t := p.timesOf(req.Service)
+	delay := t.Prefill(now, &r.speed, req.PrefillTokens) + time.Duration(req.Events)*t.StepCost(now, &r.speed)
+	return cost + time.Duration(othersWeight*float64(delay)*float64(running))
+}
+
+// lateness returns how likely something that is expected to take some time comes after a time;
+// 0 if it is not bounded. It is a half if all of the time left is expected, and 0.06 if half of
+// it is. Measured times differ from the estimate by up to a factor of two.
+func lateness(now time.Time, expected time.Duration, until time.Time) float64 {
+	left := until.Sub(now)
+	switch {
+	case until.IsZero():
+		return 0
+	case left <= 0:
+		return 1
+	}
+	u := math.Pow(float64(expected)/float64(left), 4)
+	return u / (1 + u)
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"crocusfold.dev/core/answertime"
 )
 
 // Request is a request for which a replica is to be chosen.
@@ -32,6 +34,11 @@
 	Memory int
 	// Priority orders the requests to replicas that state limits; 0 is the most urgent.
 	Priority int
+	// Target is the time at which the first event is due, and Deadline that for the last one;
+	// zero if they are not bounded. Events is the expected number of events, each of which
+	// takes Stride steps of an engine's batch; 0 if not known.
+	Target, Deadline time.Time
+	Events, Stride   int
 	// SampleSeed selects the replicas that are compared, and differs between
 	// requests; 0 compares all.
 	SampleSeed uint64
@@ -119,8 +126,12 @@
 	MemoryFill float64
 	// TransferTime is the time that the transfers of the new request take.
 	TransferTime time.Duration
+	// Answer has the expected times of the first and the last event of the response. It is
+	// zero unless requests of the service compete for replicas.
+	Answer answertime.Estimate
 	// Delay is the expected delay beyond that at an idle replica. It may be negative,
-	// since replicas in the local data centre are preferred.
+	// since replicas in the local data centre are preferred. If requests of the service
+	// compete for replicas, it is the cost of the choice as a delay.
 	Delay time.Duration
 }
 
@@ -366,8 +377,13 @@
 			cost += time.Duration((estimate.MemoryFill - memoryPressureFrom) / (1 - memoryPressureFrom) * float64(memoryPressureDelay))
 		}
 		estimate.TransferTime = transferTime(req.Transfers, r.DataCentre)
-		cost += time.Duration(running)*runningDelay + time.Duration(load.PendingPrefill)*time.Millisecond/prefillRate
-		cost += load.PendingTransfer + estimate.TransferTime
+		if p.contended(req.Service) {
+			estimate.Answer = p.answer(now, req, r, load, running)
+			cost += p.answerCost(now, req, r, running, estimate.Answer)
+		} else {
+			cost += time.Duration(running)*runningDelay + time.Duration(load.PendingPrefill)*time.Millisecond/prefillRate
+			cost += load.PendingTransfer + estimate.TransferTime
+		}
 	} else {
 		cost += median * time.Duration(running) / time.Duration(slots)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"crocusfold.dev/core/answertime"
 	"crocusfold.dev/core/departures"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/statedlimit"
@@ -85,6 +86,8 @@
 		running, waiting int
 		at               time.Time
 	}
+	// speed is the replica's speed compared with others of the service.
+	speed answertime.Speed
 	// failures is the number of consecutive failures.
 	failures   int
 	avoidUntil time.Time
@@ -136,12 +139,18 @@
 	// All instances together may send a cold replica ColdOvershoot times
 	// Request.ColdRate plus ColdSlack requests per second.
 	ColdOvershoot, ColdSlack float64
+	// Contended is true if requests of all services compete for replicas.
+	Contended bool
 
 	replicas   map[string]*replica
 	departures departures.Departures
 	waits      waits.Waits
 	// medianDelays caches the median delay of each service.
 	medianDelays map[string]delayMedian
+	// stating has the services of which a replica stated its slowdown, and times the times
+	// of the services' responses.
+	stating map[string]bool
+	times   map[string]*answertime.Times
 	// eligible and avoided are buffers that Choose reuses.
 	eligible, avoided []candidate
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -130,6 +130,7 @@
 		Network: nw, Decoder: platform.Decoder, Now: now, Logger: part("upstreams"), DataCentre: cfg.DataCentre,
 		Bounds: &e.bounds,
 	}
+	e.replicas.SetContended(cfg.Contended)
 	e.topics = &topics.Topics{
 		Log: platform.Log, Decoder: platform.Decoder, Now: now, Logger: part("topics"), Bounds: &e.bounds,
 		OnReplicas: e.replicas.ApplyRecords,
@@ -195,6 +196,7 @@
 func (e *Edge) Reload(cfg edgeconfig.Settings) {
 	old := e.bounds.Bounds()
 	e.bounds.Set(cfg.Bounds)
+	e.replicas.SetContended(cfg.Contended)
 	e.retryBudgets.SetBounds(cfg.Bounds.RetryShare, cfg.Bounds.RetrySlack)
 	_ = e.logger.Log("msg", "Read the settings again.", "bounds-changed", old != cfg.Bounds,
 		"addresses-changed", cfg.Front != e.cfg.Front || cfg.Ready != e.cfg.Ready || cfg.Peers != e.cfg.Peers)
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -72,6 +72,9 @@
 	if info.HasLoad {
 		rs.WithPool(func(p *pool.Pool) { p.SetReportedLoad(now, pl.ID, info.Running, info.Waiting) })
 	}
+	if info.Slowdown > 0 && !elsewhere {
+		rs.WithPool(func(p *pool.Pool) { p.ObserveSlowdown(now, pl.ID, info.Slowdown) })
+	}
 	if info.KeepAlive > 0 {
 		rs.SetKeepAlive(pl.ID, info.KeepAlive)
 	}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -252,6 +252,7 @@
 		ClosedDataCentres: c.relay.Topics.Intent().ClosedDataCentres,
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
+	c.boundAnswer(&req)
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
 	}
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -136,6 +136,7 @@
 		key := directory.Part{Salt: salt, ID: part.ID}
 		if store, ok := rs.dir.Locate(key, part.Tokens); ok {
 			req.Transfers = append(req.Transfers, rs.dir.Transfer(store, part.Tokens))
+			req.PrefillTokens = max(0, req.PrefillTokens-part.Tokens)
 			continue
 		}
 		req.MissingTokens += part.Tokens
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -120,6 +120,14 @@
 // version is received, and the time until a replica begins with a request.
 const versionMargin = 800 * time.Millisecond
 
+// SetContended sets whether requests of all services compete for replicas. If not, those of
+// services whose replicas state their slowdown do.
+func (rs *Replicas) SetContended(contended bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.Contended = contended
+}
+
 // SetLimitGroup sets the group of instances that share the limits of cold replicas, and
 // applies the bounds in force to these limits.
 func (rs *Replicas) SetLimitGroup(g limitgroup.Group) {
