Learn the times of events from the instance's own streams

Cause: the estimate of the last event used priors only. Stride and load explain a part of it; the speed of replicas that state none, and the prefill of other prompts between the events, have to be learned. Change: entry/relay measures the time to the first event and the gaps between events (as a mean over at least 100 ms; not while the caller reads slowly). core/answertime fits both times to the running requests and the pending prefill by least squares, by service, with a decay of a minute, and learns for each replica how many times longer its gaps are than usual. Memory is 9 + 3 sums per service and four numbers per replica. The estimate lets the present load and the stated slowdown fade to the means over a long response. Ruled out: a speed for each replica from the first observation on. Speeds are now learned only once the service's gaps are known. Tests: core/answertime.

--- a/core/answertime/answertime.go
+++ b/core/answertime/answertime.go
@@ -74,7 +74,8 @@
 	}
 	x, prior := featuresOf(load.Running, load.PendingPrefill), t.priorGap()
 	ms, slowdown := milliseconds(gap), s.Now(now)
-	if usual := t.gap.value(now, prior, x); usual > 0 {
+	// Before it is known what is usual, each replica would seem to differ from it.
+	if usual := t.gap.value(now, prior, x); usual > 0 && t.gap.known() {
 		s.observe(now, ms/usual)
 	}
 	t.gap.observe(now, prior, x, ms/slowdown)
--- a/core/answertime/regression.go
+++ b/core/answertime/regression.go
@@ -13,9 +13,13 @@
 	// priorWeight is the number of observations that the prior counts as. A single stream
 	// gives about as many, so that it alone does not decide.
 	priorWeight = 20
+	// knownWeight is the number of observations from which on the prior counts little.
+	knownWeight = 5 * priorWeight
 	// maxExcess bounds an observation to a multiple of what is expected, so that a replica
-	// that stands still does not change what is usual.
-	maxExcess = 4
+	// that stands still does not change what is usual. maxUnknownExcess is that multiple before
+	// knownWeight observations, since the prior may be off by far.
+	maxExcess        = 4
+	maxUnknownExcess = 20
 )
 
 // features are the variables that a time depends on: a constant, the running requests and the
@@ -49,8 +53,12 @@
 
 // observe records that a time of ms milliseconds was measured.
 func (r *regression) observe(now time.Time, prior, x features, ms float64) {
+	limit := float64(maxUnknownExcess)
+	if r.known() {
+		limit = maxExcess
+	}
 	if expected := r.value(now, prior, x); expected > 0 {
-		ms = min(ms, maxExcess*expected)
+		ms = min(ms, limit*expected)
 	}
 	if age := now.Sub(r.at); !r.at.IsZero() && age > 0 {
 		keep := math.Exp(-age.Seconds() / memory.Seconds())
@@ -73,6 +81,9 @@
 	r.dirty = true
 }
 
+// known reports whether the coefficients are learned ones rather than the prior.
+func (r *regression) known() bool { return r.products[0][0] >= knownWeight }
+
 // value returns the expected time in milliseconds.
 func (r *regression) value(now time.Time, prior, x features) float64 {
 	c := r.coefficients(now, prior)
--- a/core/pool/answer.go
+++ b/core/pool/answer.go
@@ -87,3 +87,35 @@
 	u := math.Pow(float64(expected)/float64(left), 4)
 	return u / (1 + u)
 }
+
+// ObserveFirstEvent records the time from the choice of a replica to the first event of a
+// response, with the estimate that it was chosen by and what the request added to the load.
+func (p *Pool) ObserveFirstEvent(now time.Time, c Choice, own Load, took time.Duration) {
+	if r, ok := p.observed(c); ok {
+		load := answertime.Load{Running: c.Estimate.Running + 1, PendingPrefill: c.Estimate.PendingPrefill + own.PendingPrefill}
+		p.timesOf(r.Service).ObserveFirst(now, &r.speed, load, took-c.Estimate.PendingTransfer-own.PendingTransfer)
+	}
+}
+
+// ObserveGap records that an event came at a replica a gap after the one before it.
+func (p *Pool) ObserveGap(now time.Time, c Choice, gap time.Duration) {
+	if r, ok := p.observed(c); ok {
+		load := r.load(now)
+		p.timesOf(r.Service).ObserveGap(now, &r.speed, answertime.Load{Running: load.Running, PendingPrefill: load.PendingPrefill}, gap)
+	}
+}
+
+// ObserveResponse records a complete response with its number of events, of which expected were
+// expected, and the time since the choice of its replica.
+func (p *Pool) ObserveResponse(now time.Time, c Choice, events, expected int, took time.Duration) {
+	if r, ok := p.observed(c); ok {
+		p.timesOf(r.Service).ObserveEnd(now, events, expected, took)
+	}
+}
+
+// observed returns the replica of a choice, if its response is learned from and the replica was
+// not replaced by another incarnation.
+func (p *Pool) observed(c Choice) (*replica, bool) {
+	r, ok := p.replicas[c.ID]
+	return r, ok && c.Contended && r.Incarnation == c.Incarnation
+}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -112,8 +112,11 @@
 	Cold bool
 	// Limited is true if the replica has stated a limit, so that the request must be
 	// granted before it is sent.
-	Limited  bool
-	Estimate Estimate
+	Limited bool
+	// Contended is true if requests of the service compete for replicas, so that the times of
+	// the response are learned from.
+	Contended bool
+	Estimate  Estimate
 	// Wait is the time until a replica may take the request, if the reason is Limited.
 	Wait time.Duration
 }
@@ -238,7 +241,7 @@
 		best.coldBudget--
 	}
 	return Choice{
-		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate,
+		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate, Contended: p.contended(req.Service),
 	}, ""
 }
 
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -1,6 +1,11 @@
 package relay
 
-import "crocusfold.dev/entry/replicas"
+import (
+	"net/http"
+	"time"
+
+	"crocusfold.dev/entry/replicas"
+)
 
 // boundAnswer sets when the response is due and its expected length, by which a replica is
 // chosen where requests compete for replicas.
@@ -13,3 +18,61 @@
 		req.Events, req.Stride = c.info.EstimateOutput(), c.service.Engine.Stride
 	}
 }
+
+const (
+	// minObservedGap is the least time between two observations of a stream. Shorter gaps are
+	// observed as their mean, so that the cost of observing does not grow with their number.
+	minObservedGap = 100 * time.Millisecond
+	// maxWriteTime is how long passing on events may take. Beyond it, the caller reads slowly,
+	// and what arrives next says nothing about the replica.
+	maxWriteTime = 5 * time.Millisecond
+)
+
+// eventTimes follows the times of the events of a stream.
+type eventTimes struct {
+	// readAt is when the events were read that are not passed on yet; zero if none are.
+	// observedAt is the time of the last observation, zero if it was dropped, and observed the
+	// number of events at that time.
+	readAt, observedAt time.Time
+	observed           int
+}
+
+// observeTimes has the pool learn from the events of a stream, and records their times for the
+// log. It is called after each read.
+func (c *call) observeTimes(pl *replicas.Placement) {
+	t, events := &c.times, c.summary.events
+	if !pl.Contended || c.summary.status >= http.StatusMultipleChoices || events == t.observed {
+		return
+	}
+	now := c.relay.Now()
+	t.readAt = now
+	c.summary.lastEventTime = now.Sub(c.began)
+	switch {
+	case t.observed == 0:
+		c.summary.firstEventTime = now.Sub(c.began)
+		c.relay.Replicas.ObserveFirstEvent(now, pl)
+	case t.observedAt.IsZero():
+	case now.Sub(t.observedAt) < minObservedGap:
+		return
+	default:
+		c.relay.Replicas.ObserveGap(now, pl, now.Sub(t.observedAt)/time.Duration(events-t.observed))
+	}
+	t.observedAt, t.observed = now, events
+}
+
+// written is called when what was read is passed on. It drops the observation in progress if
+// that took long.
+func (t *eventTimes) written(now func() time.Time) {
+	if !t.readAt.IsZero() && now().Sub(t.readAt) > maxWriteTime {
+		t.observedAt = time.Time{}
+	}
+	t.readAt = time.Time{}
+}
+
+// observeComplete has the pool learn from the length of a complete response. That of a resumed
+// stream has only its last part.
+func (c *call) observeComplete(pl *replicas.Placement) {
+	if pl.Contended && c.summary.events > 0 && c.summary.status < http.StatusMultipleChoices && !c.resumes() {
+		c.relay.Replicas.ObserveResponse(c.relay.Now(), pl, c.summary.events)
+	}
+}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -206,6 +206,7 @@
 				c.relay.Metrics.coldGrants.Inc(1)
 			}
 			c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
+			c.summary.expectedEvents = req.Events
 			c.summary.placementTime = now.Sub(c.began)
 			return pl, nil
 		}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -186,6 +186,7 @@
 	endsByClose bool
 	// events follows the stream that is passed on.
 	events  eventstream.Scanner
+	times   eventTimes
 	summary summary
 }
 
@@ -214,6 +215,11 @@
 	// firstByteTime and placementTime are measured from the start of the request.
 	proofAge, firstByteTime time.Duration
 	placementTime           time.Duration
+	// firstEventTime and lastEventTime are the times of the first and the last event of a
+	// stream from the start of the request, if its service's replicas are chosen by them.
+	firstEventTime, lastEventTime time.Duration
+	// expectedEvents is the number of events that the replica was chosen for.
+	expectedEvents int
 	// blockedPart is the part of the prompt for which the request was refused.
 	blockedPart string
 	// timeLeft is the deadline that the last replica was handed.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -57,7 +57,7 @@
 	}
 	c.summary.status, c.summary.framing = resp.StatusCode, framingOf(resp)
 	stream := eventstream.IsEventStream(resp.Header.Get("Content-Type"))
-	c.events = eventstream.Scanner{}
+	c.events, c.times = eventstream.Scanner{}, eventTimes{}
 	if c.resumes() {
 		c.events.Resume(c.info.ResumeAfter)
 	}
@@ -80,11 +80,13 @@
 				c.events.Scan(buf[:n])
 				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
 				firstEvent = c.observeEvents(firstEvent)
+				c.observeTimes(pl)
 			}
 			_, werr := c.w.Write(buf[:n])
 			if werr == nil && flush {
 				werr = flusher.Flush()
 			}
+			c.times.written(c.relay.Now)
 			if werr != nil {
 				c.abortResponse(pl, "caller-left", false, sentAt)
 				return false
@@ -95,6 +97,7 @@
 		}
 		if err == io.EOF {
 			c.summary.outcome = "ok"
+			c.observeComplete(pl)
 			c.relay.Replicas.WithPool(func(p *pool.Pool) { p.Succeeded(pl.ID) })
 			// A replica may return an error without running the request, so only a status
 			// below 300 counts as a successful run.
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -244,6 +244,27 @@
 	}
 }
 
+// ObserveFirstEvent records that the first event of a request's response has arrived.
+func (rs *Replicas) ObserveFirstEvent(now time.Time, p *Placement) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveFirstEvent(now, p.Choice, p.Load, now.Sub(p.startedAt))
+}
+
+// ObserveGap records the time between two events of a request's response.
+func (rs *Replicas) ObserveGap(now time.Time, p *Placement, gap time.Duration) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveGap(now, p.Choice, gap)
+}
+
+// ObserveResponse records that a request's response is complete, with its number of events.
+func (rs *Replicas) ObserveResponse(now time.Time, p *Placement, events int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveResponse(now, p.Choice, events, p.request.Events, now.Sub(p.startedAt))
+}
+
 // End stops counting a request as in flight.
 func (rs *Replicas) End(p *Placement) {
 	rs.mu.Lock()
