--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -132,6 +132,8 @@
 	// Answer has the expected times of the first and the last event of the response. It is
 	// zero unless requests of the service compete for replicas.
 	Answer answertime.Estimate
+	// Slowdown is how many times longer than usual work takes at the replica; 0 likewise.
+	Slowdown float64
 	// Delay is the expected delay beyond that at an idle replica. It may be negative,
 	// since replicas in the local data centre are preferred. If requests of the service
 	// compete for replicas, it is the cost of the choice as a delay.
@@ -381,6 +383,7 @@
 		}
 		estimate.TransferTime = transferTime(req.Transfers, r.DataCentre)
 		if p.contended(req.Service) {
+			estimate.Slowdown = r.speed.Now(now)
 			estimate.Answer = p.answer(now, req, r, load, running)
 			cost += p.answerCost(now, req, r, running, estimate.Answer)
 		} else {
