--- a/core/pool/bench_test.go
+++ b/core/pool/bench_test.go
@@ -45,7 +45,7 @@
 }
 
 // BenchmarkChooseContended places prompts by the whole response on 120 engines, with loads
-// reported by 62 peers and learned times. The bound is 20 us.
+// reported by 62 peers and learned times, and a long one among the wide sample. The bound is 20 us.
 func BenchmarkChooseContended(b *testing.B) {
 	now := time.UnixMilli(1_000_000)
 	p := &Pool{DataCentre: "dc-0", Contended: true}
@@ -62,13 +62,21 @@
 		Service: "s", Model: "m", Memory: 109_343, Tokens: 1_200, PrefillTokens: 300, AffinityKey: "part",
 		Events: 32, Stride: 9, Target: now.Add(500 * time.Millisecond), Deadline: now.Add(10 * time.Second),
 	}
-	b.ReportAllocs()
-	for i := range b.N {
-		req.SampleSeed = uint64(i) | 1
-		c, reason := p.Choose(now, req)
-		if reason != "" {
-			b.Fatal(reason)
-		}
-		p.ObserveGap(now, c, 70*time.Millisecond)
+	for name, events := range map[string]int{"usual": 32, "long": 106} {
+		b.Run(name, func(b *testing.B) {
+			req.Events = events
+			b.ReportAllocs()
+			for i := range b.N {
+				req.SampleSeed = uint64(i) | 1
+				c, reason := p.Choose(now, req)
+				if reason != "" {
+					b.Fatal(reason)
+				}
+				if late := lateness(now, c.Estimate.Answer.Last, req.Deadline) > wideSampleRisk; late != (name == "long") {
+					b.Fatal("the other sample is compared")
+				}
+				p.ObserveGap(now, c, 70*time.Millisecond)
+			}
+		})
 	}
 }
