--- a/core/pool/peers.go
+++ b/core/pool/peers.go
@@ -108,9 +108,9 @@
 // load returns the work in flight at the replica: this instance's, and what other instances
 // reported within peerLoadTTL.
 func (r *replica) load(now time.Time) Load {
-	sum := r.own
+	sum, since := r.own, now.Add(-peerLoadTTL)
 	for i := range r.peers {
-		if l := &r.peers[i]; l.Load != (Load{}) && now.Sub(l.at) < peerLoadTTL {
+		if l := &r.peers[i]; l.Load != (Load{}) && l.at.After(since) {
 			sum.add(l.Load)
 		}
 	}
