Weigh the delay of the instance's own streams by the time that they have left

Cause: the delay that a prompt causes counted the same for all streams at a replica. Change: a request adds its urgency to the load of its replica: the derivative of the probability that it ends late, at the time of its choice. The requests of other instances count with othersWeight, since their deadlines are not exchanged. Urgency is a whole number so that sums return to zero.

--- a/core/pool/answer.go
+++ b/core/pool/answer.go
@@ -16,8 +16,9 @@
 	// eventsWeight is the weight of the time after the first event. It counts little as long
 	// as the deadline is met.
 	eventsWeight = 0.1
-	// othersWeight is the weight of the delay of each stream that runs at the replica and
-	// whose deadline is not known.
+	// othersWeight is the weight of the delay of each request of other instances that runs at
+	// the replica, whose deadline is not known. It is that of a response of 10 s that is
+	// expected to take half of it.
 	othersWeight = 0.1
 )
 
@@ -70,7 +71,20 @@
 	cost += time.Duration((lateness(now, e.First, req.Target) + lateness(now, e.Last, req.Deadline)) * float64(lateDelay))
 	t := p.timesOf(req.Service)
 	delay := t.Prefill(now, &r.speed, req.PrefillTokens) + time.Duration(req.Events)*t.StepCost(now, &r.speed)
-	return cost + time.Duration(othersWeight*float64(delay)*float64(running))
+	others := float64(max(running-r.own.Running, 0))
+	return cost + time.Duration((othersWeight*others+float64(r.own.Urgency)/1000)*float64(delay))
+}
+
+// Urgency returns the urgency that a chosen request adds to the load of its replica.
+func (c Choice) Urgency(now, deadline time.Time) int {
+	left := deadline.Sub(now)
+	if !c.Contended || deadline.IsZero() || left <= 0 {
+		return 0
+	}
+	// This is lateDelay times the derivative of lateness.
+	u := float64(c.Estimate.Answer.Last) / float64(left)
+	slope := 4 * math.Pow(u, 3) / math.Pow(1+math.Pow(u, 4), 2) / left.Seconds()
+	return int(1000 * lateDelay.Seconds() * slope)
 }
 
 // lateness returns how likely something that is expected to take some time comes after a time;
--- a/core/pool/answers_test.go
+++ b/core/pool/answers_test.go
@@ -159,6 +159,7 @@
 			return
 		}
 		q.choice = c
+		q.load.Urgency = c.Urgency(now, now.Add(k.deadline))
 		p.Begin(c.ID, q.load)
 		e := engines[index[c.ID]]
 		if e.next.Before(now) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -45,6 +45,9 @@
 	Tokens int
 	// PendingPrefill is the number of prompt tokens that are not prefilled yet.
 	PendingPrefill int
+	// Urgency is the cost of a delay of these requests, in thousandths of the delay: how much
+	// likelier it makes late responses. Only this instance's own is known.
+	Urgency int
 	// PendingTransfer is the time that the outstanding transfers of context need on
 	// the replica's link, which carries one at a time. A transfer is counted when
 	// the replica is chosen, even if the part is prefilled instead later.
@@ -293,6 +296,7 @@
 		r.own.Tokens += l.Tokens
 		r.own.PendingPrefill += l.PendingPrefill
 		r.own.PendingTransfer += l.PendingTransfer
+		r.own.Urgency += l.Urgency
 	}
 }
 
@@ -327,6 +331,7 @@
 	if r, ok := p.replicas[id]; ok {
 		r.own.Running--
 		r.own.Tokens -= l.Tokens
+		r.own.Urgency -= l.Urgency
 	}
 }
 
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -118,6 +118,7 @@
 	}
 	p := &Placement{Choice: choice, Transport: rs.connsTo(choice.Replica).transport, startedAt: now, request: req}
 	p.Load = pool.Load{Tokens: req.Tokens, PendingPrefill: req.PromptTokens, PendingTransfer: choice.Estimate.TransferTime}
+	p.Load.Urgency = choice.Urgency(now, req.Deadline)
 	if req.Model != "" && !choice.Limited {
 		rs.planContext(now, req, p)
 	}
