Choose replicas of plain services by their stated speed and by the bodies that they hold

Cause: a replica of a plain service crashes if the requests that it holds exceed its memory, and its speed was seen only in the delay of earlier responses. Change: where requests compete for replicas, the expected time of a response without events is the median, longer by the slowdown and by the requests that run there. Each mebibyte of bodies that were sent and not answered, by this instance and its peers, counts as 20 ms (Load.Bytes, Gossip.HeldBytes, key 56, sent only for these services). The memory of replicas is stated nowhere, so the bodies are spread. Also, the expected number of events of a resumed stream is that of the events after the last one.

--- a/core/pool/answer.go
+++ b/core/pool/answer.go
@@ -75,6 +75,23 @@
 	return cost + time.Duration((othersWeight*others+float64(r.own.Urgency)/1000)*float64(delay))
 }
 
+// heldDelay is added for each mebibyte of the bodies that a replica of a plain service holds. The
+// memory of replicas is not stated, and one whose memory is exceeded crashes, so that the bodies
+// are spread. The largest body allowed is 4 MB.
+const heldDelay = 20 * time.Millisecond
+
+// plainAnswer returns the expected time of a response that is no stream, at a replica with a
+// number of running requests and slots. median is the median delay of the service.
+func plainAnswer(median time.Duration, running, slots int, slowdown float64) answertime.Estimate {
+	took := time.Duration(float64(median) * slowdown * (1 + float64(running)/float64(slots)))
+	return answertime.Estimate{First: took, Last: took}
+}
+
+// plainCost returns the cost of a response that is no stream, as a delay.
+func plainCost(load Load, e answertime.Estimate) time.Duration {
+	return e.First + time.Duration(float64(load.Bytes)/(1<<20)*float64(heldDelay))
+}
+
 // Urgency returns the urgency that a chosen request adds to the load of its replica.
 func (c Choice) Urgency(now, deadline time.Time) int {
 	left := deadline.Sub(now)
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -310,6 +310,10 @@
 			cost += time.Duration(running)*runningDelay + time.Duration(load.PendingPrefill)*time.Millisecond/prefillRate
 			cost += load.PendingTransfer + estimate.TransferTime
 		}
+	} else if p.contended(req.Service) {
+		estimate.Slowdown = r.speed.Now(now)
+		estimate.Answer = plainAnswer(median, running, slots, estimate.Slowdown)
+		cost += plainCost(load, estimate.Answer)
 	} else {
 		cost += median * time.Duration(running) / time.Duration(slots)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -45,6 +45,9 @@
 	Tokens int
 	// PendingPrefill is the number of prompt tokens that are not prefilled yet.
 	PendingPrefill int
+	// Bytes is the size of the bodies of these requests. It is counted only for plain services
+	// whose requests compete for replicas.
+	Bytes int
 	// Urgency is the cost of a delay of these requests, in thousandths of the delay: how much
 	// likelier it makes late responses. Only this instance's own is known.
 	Urgency int
@@ -277,6 +280,7 @@
 	l.Tokens += o.Tokens
 	l.PendingPrefill += o.PendingPrefill
 	l.PendingTransfer += o.PendingTransfer
+	l.Bytes += o.Bytes
 }
 
 // Load returns the work in flight at a replica: this instance's, and what other
@@ -296,6 +300,7 @@
 		r.own.Tokens += l.Tokens
 		r.own.PendingPrefill += l.PendingPrefill
 		r.own.PendingTransfer += l.PendingTransfer
+		r.own.Bytes += l.Bytes
 		r.own.Urgency += l.Urgency
 	}
 }
@@ -331,6 +336,7 @@
 	if r, ok := p.replicas[id]; ok {
 		r.own.Running--
 		r.own.Tokens -= l.Tokens
+		r.own.Bytes -= l.Bytes
 		r.own.Urgency -= l.Urgency
 	}
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -75,6 +75,16 @@
 	case "defer":
 		// defer MS ID PRIORITY UNTIL-MS.
 		p.Defer(at(args[1]), args[2], number(args[3]), at(args[4]))
+	case "contended":
+		p.Contended = true
+	case "slowdown":
+		// slowdown MS ID PERCENT.
+		p.ObserveSlowdown(at(args[1]), args[2], float64(number(args[3]))/100)
+	case "hold":
+		// hold ID BYTES; release ends it.
+		p.Begin(args[1], Load{Bytes: number(args[2])})
+	case "release":
+		p.End(args[1], Load{Bytes: number(args[2])})
 	case "choose":
 		return []string{choose(p, args)}
 	case "burst":
@@ -106,7 +116,8 @@
 }
 
 // choose parses: choose MS [model] [tokens=N] [min-version=N] [priority=N] [closed=DC] [tried=ID]
-// [affinity-key=KEY] [prefill-replica=ID] [missing=N] [transfer=DC:MS].
+// [affinity-key=KEY] [prefill-replica=ID] [missing=N] [transfer=DC:MS] [prefill=N] [events=N]
+// [deadline=MS].
 func choose(p *Pool, args []string) string {
 	req := Request{Service: "s", ColdRate: coldRate, ClosedDataCentres: map[string]bool{}, Tried: map[string]bool{}}
 	for _, arg := range args[2:] {
@@ -128,6 +139,12 @@
 			req.AffinityKey = value
 		case "prefill-replica":
 			req.PrefillReplica = value
+		case "prefill":
+			req.PrefillTokens = number(value)
+		case "events":
+			req.Events, req.Stride = number(value), 9
+		case "deadline":
+			req.Deadline = at(value)
 		case "missing":
 			req.MissingTokens = number(value)
 		case "transfer":
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -55,6 +55,9 @@
 	// Leaving has the replicas that stated that they leave, as far as the receiver has not
 	// acknowledged them.
 	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
+	// HeldBytes has the sizes of the bodies that replicas of plain services hold of the
+	// requests in Loads, where requests compete for replicas.
+	HeldBytes map[string]int `cbor:"56,keyasint,omitempty"`
 }
 
 // LeavingReplica is an incarnation of a replica that leaves. Age is how long the sender has
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"crocusfold.dev/entry/replicas"
@@ -10,12 +11,16 @@
 // boundAnswer sets when the response is due and its expected length, by which a replica is
 // chosen where requests compete for replicas.
 func (c *call) boundAnswer(req *replicas.PlacementRequest) {
-	req.Deadline = c.deadline
+	req.Deadline, req.Bytes = c.deadline, len(c.body)
 	if c.route.TargetLatency > 0 {
 		req.Target = c.began.Add(c.route.TargetLatency)
 	}
 	if c.service.Engine != nil {
 		req.Events, req.Stride = c.info.EstimateOutput(), c.service.Engine.Stride
+		// The ids of events are their numbers, and a resumed stream has those after the last one.
+		if after, err := strconv.Atoi(c.info.ResumeAfter); err == nil && c.resumes() {
+			req.Events = max(req.Events-after, 1)
+		}
 	}
 }
 
--- a/entry/replicas/peers.go
+++ b/entry/replicas/peers.go
@@ -30,7 +30,7 @@
 func (rs *Replicas) MergeGossip(now time.Time, g message.Gossip) {
 	loads := make(map[string]pool.Load, len(g.Loads.Replicas))
 	g.Loads.ForEach(func(replica string, running, tokens, prefill int, transfer time.Duration) {
-		loads[replica] = pool.Load{Running: running, Tokens: tokens, PendingPrefill: prefill, PendingTransfer: transfer}
+		loads[replica] = pool.Load{Running: running, Tokens: tokens, PendingPrefill: prefill, PendingTransfer: transfer, Bytes: max(0, g.HeldBytes[replica])}
 	})
 	rs.mu.Lock()
 	for _, v := range g.NamedVersions {
@@ -85,6 +85,12 @@
 	if g.Relation != peering.Unrelated {
 		for id, l := range rs.pool.CombinedLoads(now, peers) {
 			g.Loads.Add(id, l.Running, l.Tokens, l.PendingPrefill, l.PendingTransfer)
+			if l.Bytes > 0 {
+				if g.HeldBytes == nil {
+					g.HeldBytes = map[string]int{}
+				}
+				g.HeldBytes[id] = l.Bytes
+			}
 		}
 	}
 	for _, l := range rs.pool.LimitsChangedSince(since) {
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -89,6 +89,8 @@
 	// TargetLatency is the time within which the response should start; 0 if there is
 	// no target.
 	TargetLatency time.Duration
+	// Bytes is the size of the request's body.
+	Bytes int
 	// IsolatedAccount is the name of the request's account if it shares no context with
 	// other accounts, and else empty.
 	IsolatedAccount string
@@ -118,6 +120,9 @@
 	}
 	p := &Placement{Choice: choice, Transport: rs.connsTo(choice.Replica).transport, startedAt: now, request: req}
 	p.Load = pool.Load{Tokens: req.Tokens, PendingPrefill: req.PromptTokens, PendingTransfer: choice.Estimate.TransferTime}
+	if choice.Contended && req.Memory == 0 {
+		p.Load.Bytes = req.Bytes
+	}
 	p.Load.Urgency = choice.Urgency(now, req.Deadline)
 	if req.Model != "" && !choice.Limited {
 		rs.planContext(now, req, p)
