--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -85,3 +85,20 @@
 		c.relay.Replicas.ObserveResponse(c.relay.Now(), pl, c.summary.events)
 	}
 }
+
+// estimateOutcome compares the expected time of the last event with the measured one, for the
+// metrics. It is empty if the response has no events that were measured to the end.
+func (c *call) estimateOutcome() string {
+	expected, measured := c.summary.estimate.Answer.Last, c.sincePlaced(c.summary.lastEventTime)
+	if c.summary.outcome != "ok" || expected <= 0 || measured <= 0 {
+		return ""
+	}
+	const off = 2
+	switch {
+	case expected > off*measured:
+		return "too-long"
+	case measured > off*expected:
+		return "too-short"
+	}
+	return "close"
+}
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -94,6 +94,9 @@
 	if c.summary.replica != "" {
 		m.histogram(labels{metric: "placed", kind: kind}).RecordDuration(c.summary.placementTime)
 	}
+	if outcome := c.estimateOutcome(); outcome != "" {
+		m.counter(labels{metric: "estimates", service: c.service.Name, outcome: outcome}).Inc(1)
+	}
 	skipped, repeated := c.events.Disorder()
 	if skipped > 0 {
 		m.counter(labels{metric: "stream_events_disordered", outcome: "skipped"}).Inc(int64(skipped))
