--- a/core/pool/answers_test.go
+++ b/core/pool/answers_test.go
@@ -54,6 +54,7 @@
 	promptKind
 	kind           int
 	at             *Pool
+	on             *fakeEngine
 	choice         Choice
 	load           Load
 	begun, last    time.Time
@@ -104,6 +105,9 @@
 	if q.seen++; q.seen == 1 {
 		q.first = now.Sub(q.begun)
 		q.at.EndPrefill(q.choice.ID, q.load)
+		if q.on.site.stated && q.choice.Contended {
+			q.at.ObserveSlowdown(now, q.choice.ID, q.on.slow)
+		}
 		q.at.ObserveFirstEvent(now, q.choice, q.load, now.Sub(q.begun))
 	} else {
 		q.at.ObserveGap(now, q.choice, now.Sub(q.last))
@@ -165,10 +169,8 @@
 		if e.next.Before(now) {
 			e.next = now
 		}
+		q.on = e
 		e.waiting = append(e.waiting, q)
-		if s.stated && contended {
-			p.ObserveSlowdown(now, c.ID, e.slow)
-		}
 	}
 	var now time.Time
 	done := func(q *prompt) {
