--- a/core/pool/answers_test.go
+++ b/core/pool/answers_test.go
@@ -18,6 +18,7 @@
 	// slowdown returns how much longer work takes at an engine in a given tenth of a second.
 	slowdown func(r *rand.Rand, engine int) float64
 	stated   bool
+	maxGap   time.Duration
 }
 
 type promptKind struct {
@@ -36,6 +37,7 @@
 			{284, 2_368, 3, 500 * time.Millisecond, 3 * time.Second, 1},
 		},
 		slowdown: func(_ *rand.Rand, engine int) float64 { return 1 + 0.3*float64(engine%3/2) },
+		maxGap:   500 * time.Millisecond,
 	},
 	"B": {
 		slots: 24, memory: 81_383, stride: 9, chunk: 2048, step: 2.2, stepRequest: 0.1, tokensPerMillis: 140,
@@ -46,6 +48,7 @@
 		},
 		slowdown: func(r *rand.Rand, _ int) float64 { return 1 + 1.5*float64(r.IntN(6)/5) },
 		stated:   true,
+		maxGap:   300 * time.Millisecond,
 	},
 }
 
@@ -58,7 +61,7 @@
 	choice         Choice
 	load           Load
 	begun, last    time.Time
-	first          time.Duration
+	first, gap     time.Duration
 	prefill, steps int
 	expected, seen int
 }
@@ -110,6 +113,7 @@
 		}
 		q.at.ObserveFirstEvent(now, q.choice, q.load, now.Sub(q.begun))
 	} else {
+		q.gap = max(q.gap, now.Sub(q.last))
 		q.at.ObserveGap(now, q.choice, now.Sub(q.last))
 	}
 	q.last = now
@@ -117,8 +121,8 @@
 
 // outcome counts the responses of a kind.
 type outcome struct {
-	all, late, lateFirst, refused int
-	sum                           time.Duration
+	all, late, lateFirst, paused, refused int
+	sum                                   time.Duration
 	// errors is the sum of the logarithms of estimated by measured times of the last event.
 	errors, deviations float64
 }
@@ -186,6 +190,9 @@
 		if took > q.deadline {
 			o.late++
 		}
+		if q.gap > s.maxGap {
+			o.paused++
+		}
 		if q.first > q.target {
 			o.lateFirst++
 		}
@@ -240,8 +247,8 @@
 			for i, contended := range []bool{false, true} {
 				for kind, o := range play(1, s, contended, length) {
 					n := float64(o.all)
-					t.Logf("contended %t, kind %d: %d responses, %d late, %d first events late, %d refused, mean %v, estimate off by %.2f, deviation %.2f",
-						contended, kind, o.all, o.late, o.lateFirst, o.refused, (o.sum / time.Duration(o.all)).Round(time.Millisecond), o.errors/n, math.Sqrt(o.deviations/n))
+					t.Logf("contended %t, kind %d: %d responses, %d late, %d first events late, %d with a long pause, %d refused, mean %v, estimate off by %.2f, deviation %.2f",
+						contended, kind, o.all, o.late, o.lateFirst, o.paused, o.refused, (o.sum / time.Duration(o.all)).Round(time.Millisecond), o.errors/n, math.Sqrt(o.deviations/n))
 					late[i] += o.late
 					lateFirst[i] += o.lateFirst
 					is.Equal(o.refused, 0)
