Count the prompt of a contended stream as pending until its first event

Cause: the pending prefill of a request ended with the head of the response. A replica that sends the head before it has prefilled the prompt would then look idle to all instances. Change: where requests compete for replicas, the start of an event stream is its first event. Without one, the request's end removes the pending prefill, as before. Not measured: the stand-ins send both at once.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -59,6 +59,7 @@
 	switch {
 	case t.observed == 0:
 		c.summary.firstEventTime = now.Sub(c.began)
+		c.relay.Replicas.ResponseStarted(now, pl)
 		c.relay.Replicas.ObserveFirstEvent(now, pl)
 	case t.observedAt.IsZero():
 	case now.Sub(t.observedAt) < minObservedGap:
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/attempt"
+	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
 	"crocusfold.dev/entry/adapter"
@@ -337,7 +338,11 @@
 	}
 	defer resp.Body.Close()
 	c.relay.Crashes.retractCrashes(now, pl.ID, pl.Incarnation, conn.firstUse(now))
-	rs.ResponseStarted(now, pl)
+	if !pl.Contended || !eventstream.IsEventStream(resp.Header.Get("Content-Type")) {
+		// A replica may send the head of a stream before it has prefilled the prompt. Where
+		// requests compete for replicas, observeTimes records the start of a stream.
+		rs.ResponseStarted(now, pl)
+	}
 	c.summary.firstByteTime = now.Sub(c.began)
 	if c.copyResponse(pl, resp, sentAt) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
