--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"crocusfold.dev/core/answertime"
 )
 
 // Request is a request for which a replica is to be chosen.
@@ -32,6 +34,11 @@
 	Memory int
 	// Priority orders the requests to replicas that state limits; 0 is the most urgent.
 	Priority int
+	// Target is the time at which the first event is due, and Deadline that for the last one;
+	// zero if they are not bounded. Events is the expected number of events, each of which
+	// takes Stride steps of an engine's batch; 0 if not known.
+	Target, Deadline time.Time
+	Events, Stride   int
 	// SampleSeed selects the replicas that are compared, and differs between
 	// requests; 0 compares all.
 	SampleSeed uint64
@@ -93,6 +100,8 @@
 	Failing Reason = "failing"
 	// Full means that all replicas are full.
 	Full Reason = "full"
+	// TooLate means that the response could not end before its deadline at any replica.
+	TooLate Reason = "too-late"
 )
 
 // Choice is a chosen replica, with its weight version of the model and the estimate
@@ -105,8 +114,11 @@
 	Cold bool
 	// Limited is true if the replica has stated a limit, so that the request must be
 	// granted before it is sent.
-	Limited  bool
-	Estimate Estimate
+	Limited bool
+	// Contended is true if requests of the service compete for replicas, so that the times of
+	// the response are learned from.
+	Contended bool
+	Estimate  Estimate
 	// Wait is the time until a replica may take the request, if the reason is Limited.
 	Wait time.Duration
 }
@@ -119,8 +131,14 @@
 	MemoryFill float64
 	// TransferTime is the time that the transfers of the new request take.
 	TransferTime time.Duration
+	// Answer has the expected times of the first and the last event of the response. It is
+	// zero unless requests of the service compete for replicas.
+	Answer answertime.Estimate
+	// Slowdown is how many times longer than usual work takes at the replica; 0 likewise.
+	Slowdown float64
 	// Delay is the expected delay beyond that at an idle replica. It may be negative,
-	// since replicas in the local data centre are preferred.
+	// since replicas in the local data centre are preferred. If requests of the service
+	// compete for replicas, it is the cost of the choice as a delay.
 	Delay time.Duration
 }
 
@@ -169,6 +187,9 @@
 // the reason is empty if a replica was chosen. While the replica is cold, the request
 // counts against its limit. The caller must call Begin.
 func (p *Pool) Choose(now time.Time, req Request) (Choice, Reason) {
+	if p.tooLate(now, req) {
+		return Choice{}, TooLate
+	}
 	reason := NoReplica
 	var wait time.Duration
 	eligible, avoided := p.eligible[:0], p.avoided[:0]
@@ -227,7 +248,7 @@
 		best.coldBudget--
 	}
 	return Choice{
-		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate,
+		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate, Contended: p.contended(req.Service),
 	}, ""
 }
 
@@ -259,86 +280,6 @@
 	return out
 }
 
-// best returns the replica with the lowest cost, or nil if all are full. It compares
-// the sampled replicas, the affinity replicas and the one that prefills the context.
-func (p *Pool) best(now time.Time, req Request, eligible []candidate) (*replica, Estimate) {
-	newest := 0
-	for _, r := range eligible {
-		newest = max(newest, r.version)
-	}
-	median := p.medianDelay(now, req.Service, eligible)
-	first, second := affinityReplicas(req.AffinityKey, eligible)
-	bonus := affinityBonus + time.Duration(req.MissingTokens)*missingTokenBonus
-	sampled := sample(req.SampleSeed, eligible)
-	var best *replica
-	var bestEstimate Estimate
-	var lowest time.Duration
-	for i, r := range eligible {
-		if !sampled[i] && i != first && i != second && r.ID != req.PrefillReplica {
-			continue
-		}
-		estimate, ok := p.estimate(now, req, r.replica, median)
-		if !ok {
-			continue
-		}
-		cost := estimate.Delay
-		if r.version < newest {
-			cost += oldVersionDelay
-		}
-		switch {
-		case r.ID == req.PrefillReplica:
-			cost -= 2 * bonus
-		case i == first:
-			cost -= bonus
-		case i == second:
-			cost -= bonus / 2
-		}
-		if best == nil || cost < lowest || cost == lowest && r.ID < best.ID {
-			best, bestEstimate, lowest = r.replica, estimate, cost
-		}
-	}
-	return best, bestEstimate
-}
-
-// sampleSize is the number of replicas that are compared for a request. Instances
-// learn of each other's requests late, so if they compared all replicas, they would
-// all choose the same one. The best of a small random sample is nearly as good.
-const sampleSize = 3
-
-// sample marks the replicas that are compared for a request, by rendezvous hashing
-// with the seed. It marks all of them if the seed is 0 or there are at most sampleSize.
-func sample(seed uint64, all []candidate) []bool {
-	sampled := make([]bool, len(all))
-	if seed == 0 || len(all) <= sampleSize {
-		for i := range sampled {
-			sampled[i] = true
-		}
-		return sampled
-	}
-	// top holds the highest scores so far, in descending order.
-	var top [sampleSize]struct {
-		score uint64
-		index int
-	}
-	var key [16]byte
-	binary.LittleEndian.PutUint64(key[:8], seed)
-	for i, r := range all {
-		binary.LittleEndian.PutUint64(key[8:], r.hash)
-		score := xxhash.Sum64(key[:])
-		for k := range top {
-			if score > top[k].score {
-				copy(top[k+1:], top[k:])
-				top[k].score, top[k].index = score, i
-				break
-			}
-		}
-	}
-	for _, c := range top {
-		sampled[c.index] = true
-	}
-	return sampled
-}
-
 // estimate returns the estimate for a request at a replica; ok is false if the
 // replica is full. median is the median delay of the service.
 func (p *Pool) estimate(now time.Time, req Request, r *replica, median time.Duration) (estimate Estimate, ok bool) {
@@ -366,8 +307,18 @@
 			cost += time.Duration((estimate.MemoryFill - memoryPressureFrom) / (1 - memoryPressureFrom) * float64(memoryPressureDelay))
 		}
 		estimate.TransferTime = transferTime(req.Transfers, r.DataCentre)
-		cost += time.Duration(running)*runningDelay + time.Duration(load.PendingPrefill)*time.Millisecond/prefillRate
-		cost += load.PendingTransfer + estimate.TransferTime
+		if p.contended(req.Service) {
+			estimate.Slowdown = r.speed.Now(now)
+			estimate.Answer = p.answer(now, req, r, load, running)
+			cost += p.answerCost(now, req, r, running, estimate.Answer)
+		} else {
+			cost += time.Duration(running)*runningDelay + time.Duration(load.PendingPrefill)*time.Millisecond/prefillRate
+			cost += load.PendingTransfer + estimate.TransferTime
+		}
+	} else if p.contended(req.Service) {
+		estimate.Slowdown = r.speed.Now(now)
+		estimate.Answer = plainAnswer(median, running, slots, estimate.Slowdown)
+		cost += plainCost(load, estimate.Answer)
 	} else {
 		cost += median * time.Duration(running) / time.Duration(slots)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"crocusfold.dev/core/answertime"
 	"crocusfold.dev/core/departures"
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/statedlimit"
@@ -44,6 +45,12 @@
 	Tokens int
 	// PendingPrefill is the number of prompt tokens that are not prefilled yet.
 	PendingPrefill int
+	// Bytes is the size of the bodies of these requests. It is counted only for plain services
+	// whose requests compete for replicas.
+	Bytes int
+	// Urgency is the cost of a delay of these requests, in thousandths of the delay: how much
+	// likelier it makes late responses. Only this instance's own is known.
+	Urgency int
 	// PendingTransfer is the time that the outstanding transfers of context need on
 	// the replica's link, which carries one at a time. A transfer is counted when
 	// the replica is chosen, even if the part is prefilled instead later.
@@ -77,14 +84,16 @@
 	// removeAt is when Sweep removes the replica; zero if it stays.
 	removeAt time.Time
 	// own is this instance's work in flight. peers has the loads that other instances
-	// reported, by name; one may be the sum of several instances.
+	// reported, by the indexes of Pool.peers; one may be the sum of several instances.
 	own   Load
-	peers map[string]peerLoad
+	peers []peerLoad
 	// reported is the load stated in the replica's last response.
 	reported struct {
 		running, waiting int
 		at               time.Time
 	}
+	// speed is the replica's speed compared with others of the service.
+	speed answertime.Speed
 	// failures is the number of consecutive failures.
 	failures   int
 	avoidUntil time.Time
@@ -121,11 +130,6 @@
 	return now.Before(r.reload.until) && r.Versions[r.reload.model] < r.reload.version
 }
 
-type peerLoad struct {
-	Load
-	at time.Time
-}
-
 // Pool is the set of known replicas. The zero value is empty. It is not safe
 // for concurrent use.
 type Pool struct {
@@ -136,12 +140,19 @@
 	// All instances together may send a cold replica ColdOvershoot times
 	// Request.ColdRate plus ColdSlack requests per second.
 	ColdOvershoot, ColdSlack float64
+	// Contended is true if requests of all services compete for replicas.
+	Contended bool
 
 	replicas   map[string]*replica
+	peers      peerIndexes
 	departures departures.Departures
 	waits      waits.Waits
 	// medianDelays caches the median delay of each service.
 	medianDelays map[string]delayMedian
+	// stating has the services of which a replica stated its slowdown, and times the times
+	// of the services' responses.
+	stating map[string]bool
+	times   map[string]*answertime.Times
 	// eligible and avoided are buffers that Choose reuses.
 	eligible, avoided []candidate
 }
@@ -156,7 +167,7 @@
 	}
 	old, ok := p.replicas[r.ID]
 	if !ok || old.Incarnation != r.Incarnation {
-		p.replicas[r.ID] = &replica{Replica: r, hash: xxhash.Sum64String(r.ID), peers: map[string]peerLoad{}}
+		p.replicas[r.ID] = &replica{Replica: r, hash: xxhash.Sum64String(r.ID)}
 		return r
 	}
 	// A version observed in a response may be newer than the list, which lags.
@@ -193,6 +204,7 @@
 		}
 	}
 	p.waits.Sweep(now)
+	p.sweepPeers(now)
 	p.departures.Sweep(now, func(id string, incarnation int64) bool {
 		r, ok := p.replicas[id]
 		return ok && r.Incarnation == incarnation
@@ -263,29 +275,12 @@
 	return out
 }
 
-// CombinedLoads returns the work in flight of this instance and the given peers, by
-// replica.
-func (p *Pool) CombinedLoads(now time.Time, peers map[string]bool) map[string]Load {
-	out := map[string]Load{}
-	for id, r := range p.replicas {
-		sum := r.own
-		for peer, l := range r.peers {
-			if peers[peer] && now.Sub(l.at) < peerLoadTTL {
-				sum.add(l.Load)
-			}
-		}
-		if sum.Running > 0 {
-			out[id] = sum
-		}
-	}
-	return out
-}
-
 func (l *Load) add(o Load) {
 	l.Running += o.Running
 	l.Tokens += o.Tokens
 	l.PendingPrefill += o.PendingPrefill
 	l.PendingTransfer += o.PendingTransfer
+	l.Bytes += o.Bytes
 }
 
 // Load returns the work in flight at a replica: this instance's, and what other
@@ -297,25 +292,6 @@
 	return Load{}
 }
 
-// SetPeerLoads replaces the loads by replica that a peer reported, for itself or
-// summed over several instances.
-func (p *Pool) SetPeerLoads(now time.Time, peer string, loads map[string]Load) {
-	for id, r := range p.replicas {
-		if l, ok := loads[id]; ok {
-			r.peers[peer] = peerLoad{l, now}
-		} else {
-			delete(r.peers, peer)
-		}
-	}
-}
-
-// DropPeerLoads removes the loads that a peer reported.
-func (p *Pool) DropPeerLoads(peer string) {
-	for _, r := range p.replicas {
-		delete(r.peers, peer)
-	}
-}
-
 // Begin counts a request as in flight at a replica and adds its load, whose Running
 // is ignored.
 func (p *Pool) Begin(id string, l Load) {
@@ -324,6 +300,8 @@
 		r.own.Tokens += l.Tokens
 		r.own.PendingPrefill += l.PendingPrefill
 		r.own.PendingTransfer += l.PendingTransfer
+		r.own.Bytes += l.Bytes
+		r.own.Urgency += l.Urgency
 	}
 }
 
@@ -358,6 +336,8 @@
 	if r, ok := p.replicas[id]; ok {
 		r.own.Running--
 		r.own.Tokens -= l.Tokens
+		r.own.Bytes -= l.Bytes
+		r.own.Urgency -= l.Urgency
 	}
 }
 
@@ -400,16 +380,6 @@
 	}
 }
 
-func (r *replica) load(now time.Time) Load {
-	sum := r.own
-	for _, l := range r.peers {
-		if now.Sub(l.at) < peerLoadTTL {
-			sum.add(l.Load)
-		}
-	}
-	return sum
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/attempt"
+	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
 	"crocusfold.dev/entry/adapter"
@@ -180,7 +181,7 @@
 // place chooses a replica, and has the request granted if the replica states a limit. If
 // none can take the request now, it waits for at most placementWaitShare of the target
 // latency, and then returns a refusal. It does not wait if no replica is eligible at all,
-// or if no limit has room within that time.
+// if no limit has room within that time, or if the response would end after its deadline.
 func (c *call) place() (*replicas.Placement, *refusal) {
 	wait := defaultPlacementWait
 	if c.route.TargetLatency > 0 {
@@ -206,10 +207,11 @@
 				c.relay.Metrics.coldGrants.Inc(1)
 			}
 			c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
+			c.summary.expectedEvents = req.Events
 			c.summary.placementTime = now.Sub(c.began)
 			return pl, nil
 		}
-		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica {
+		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica || reason == pool.TooLate {
 			if c.policy.Runs() > 0 {
 				return nil, c.responseLost()
 			}
@@ -252,6 +254,7 @@
 		ClosedDataCentres: c.relay.Topics.Intent().ClosedDataCentres,
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
+	c.boundAnswer(&req)
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
 	}
@@ -335,7 +338,11 @@
 	}
 	defer resp.Body.Close()
 	c.relay.Crashes.retractCrashes(now, pl.ID, pl.Incarnation, conn.firstUse(now))
-	rs.ResponseStarted(now, pl)
+	if !pl.Contended || !eventstream.IsEventStream(resp.Header.Get("Content-Type")) {
+		// A replica may send the head of a stream before it has prefilled the prompt. Where
+		// requests compete for replicas, observeTimes records the start of a stream.
+		rs.ResponseStarted(now, pl)
+	}
 	c.summary.firstByteTime = now.Sub(c.began)
 	if c.copyResponse(pl, resp, sentAt) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -89,6 +89,8 @@
 	// TargetLatency is the time within which the response should start; 0 if there is
 	// no target.
 	TargetLatency time.Duration
+	// Bytes is the size of the request's body.
+	Bytes int
 	// IsolatedAccount is the name of the request's account if it shares no context with
 	// other accounts, and else empty.
 	IsolatedAccount string
@@ -118,6 +120,10 @@
 	}
 	p := &Placement{Choice: choice, Transport: rs.connsTo(choice.Replica).transport, startedAt: now, request: req}
 	p.Load = pool.Load{Tokens: req.Tokens, PendingPrefill: req.PromptTokens, PendingTransfer: choice.Estimate.TransferTime}
+	if choice.Contended && req.Memory == 0 {
+		p.Load.Bytes = req.Bytes
+	}
+	p.Load.Urgency = choice.Urgency(now, req.Deadline)
 	if req.Model != "" && !choice.Limited {
 		rs.planContext(now, req, p)
 	}
@@ -136,6 +142,7 @@
 		key := directory.Part{Salt: salt, ID: part.ID}
 		if store, ok := rs.dir.Locate(key, part.Tokens); ok {
 			req.Transfers = append(req.Transfers, rs.dir.Transfer(store, part.Tokens))
+			req.PrefillTokens = max(0, req.PrefillTokens-part.Tokens)
 			continue
 		}
 		req.MissingTokens += part.Tokens
@@ -243,6 +250,27 @@
 	}
 }
 
+// ObserveFirstEvent records that the first event of a request's response has arrived.
+func (rs *Replicas) ObserveFirstEvent(now time.Time, p *Placement) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveFirstEvent(now, p.Choice, p.Load, now.Sub(p.startedAt))
+}
+
+// ObserveGap records the time between two events of a request's response.
+func (rs *Replicas) ObserveGap(now time.Time, p *Placement, gap time.Duration) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveGap(now, p.Choice, gap)
+}
+
+// ObserveResponse records that a request's response is complete, with its number of events.
+func (rs *Replicas) ObserveResponse(now time.Time, p *Placement, events int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.pool.ObserveResponse(now, p.Choice, events, p.request.Events, now.Sub(p.startedAt))
+}
+
 // End stops counting a request as in flight.
 func (rs *Replicas) End(p *Placement) {
 	rs.mu.Lock()
