Add core/waitqueue, which orders the requests that wait for a replica

Cause: a request without a replica tries again every 15 ms in no order for half of its target, and is then refused with a fixed Retry-After.

Change: a queue with an order (in time, guarantee of the kind, share of the account, returned, priority, value for the capacity, latest start), bounds by count and bytes, an estimate of the wait from what is held and how long it is held, early refusals with spread delays, and the share of the room by what waits at peers. Nothing uses it yet. Ruled out: strict priority, under which a kind starves, and measuring the rate of starts at one instance, which are two or three a second there.

--- /dev/null
+++ b/core/waitqueue/estimate.go
@@ -0,0 +1,161 @@
+package waitqueue
+
+import "time"
+
+// Capacity is what the instances together know of a service.
+type Capacity struct {
+	// Held is the sum of the sizes of the requests that run there for all instances.
+	Held float64
+	// PeersWaiting is the sum of the sizes of the requests that wait at the other instances,
+	// and Instances the number of all instances.
+	PeersWaiting float64
+	Instances    int
+}
+
+// capacity is the latest Capacity, with how long requests hold their part of it.
+type capacity struct {
+	Capacity
+	at time.Time
+	// held is the sum of the sizes of the requests that ended lately, heldTime that of their
+	// sizes times the seconds that they ran, and finished the number of all requests that
+	// ended.
+	held, heldTime float64
+	finished       int
+	// nextReturn is when the next refused caller is told to come back at the earliest.
+	nextReturn time.Time
+}
+
+const (
+	// capacityTTL is how long a Capacity counts, as long as what peers report.
+	capacityTTL = 2 * time.Second
+	// minFinished is the number of completed requests from which the rate is known.
+	minFinished = 8
+	// holdDecay is what each completed request leaves of the weight of the earlier ones.
+	holdDecay = 0.98
+	// A new request is refused on arrival only if it is expected to wait hopelessFactor times
+	// as long as it may, since the estimate is uncertain; the caller of a returned request has
+	// been told to come, so that it is hopelessReturned then.
+	hopelessFactor   = 1.25
+	hopelessReturned = 2.0
+	// unknownComposition is the part of what waits at peers that is assumed to go before a
+	// request while nothing waits here.
+	unknownComposition = 0.5
+
+	// minRetryAfter is the shortest Retry-After delay, and defaultRetryAfter the delay if the
+	// rate is not known.
+	minRetryAfter     = 100 * time.Millisecond
+	defaultRetryAfter = 400 * time.Millisecond
+	// maxRetryShare bounds the Retry-After delay. Callers honour it up to a third of the time
+	// that they have left.
+	maxRetryShare = 0.3
+	// maxRetryAfter is the longest delay for callers without a deadline.
+	maxRetryAfter = 2 * time.Second
+	// returnShare is the part of the capacity that is left to returning callers. The rest
+	// serves new ones.
+	returnShare = 0.5
+)
+
+// Observe records the capacity of a service.
+func (q *Queue) Observe(now time.Time, service string, c Capacity) {
+	s := q.service(service)
+	s.capacity.Capacity, s.capacity.at = c, now
+}
+
+// Finished records that a request of a size has ended, which ran for some time.
+func (q *Queue) Finished(service string, size float64, took time.Duration) {
+	c := &q.service(service).capacity
+	c.held = c.held*holdDecay + size
+	c.heldTime = c.heldTime*holdDecay + size*took.Seconds()
+	c.finished++
+}
+
+// rate returns the capacity that becomes free per second over all instances: what is held
+// divided by how long it is held. ok is false if it is not known.
+func (c *capacity) rate(now time.Time) (perSecond float64, ok bool) {
+	if c.finished < minFinished || c.Held <= 0 || c.heldTime <= 0 || now.Sub(c.at) > capacityTTL {
+		return 0, false
+	}
+	return c.Held * c.held / c.heldTime, true
+}
+
+// share returns the part of the freed capacity that this instance takes.
+func (s *service) share() float64 {
+	if s.size > 0 {
+		return s.size / (s.size + s.capacity.PeersWaiting)
+	}
+	return 1 / float64(max(s.capacity.Instances, 1))
+}
+
+// expectedWait returns how long a request that enters now is expected to wait: the capacity
+// that what goes before it needs, here and at the peers, divided by the rate.
+func (s *service) expectedWait(now time.Time, it Item) (wait time.Duration, known bool) {
+	rate, ok := s.capacity.rate(now)
+	if !ok {
+		return 0, false
+	}
+	key := flowKey{it.Account, kindKey{it.Kind, sizeClass(it.Size)}}
+	shares, ahead := s.shares(), 0.0
+	own := s.rank(now, it, s.flows[key], shares)
+	for _, f := range s.flows {
+		if f.key == key || s.rank(now, f.head(now).Item, f, shares).before(own) {
+			ahead += f.size
+		}
+	}
+	if s.size > 0 {
+		ahead += ahead / s.size * s.capacity.PeersWaiting
+	} else {
+		ahead = unknownComposition * s.capacity.PeersWaiting
+	}
+	return seconds(ahead / rate), true
+}
+
+// hopeless reports whether a request that is expected to wait for a time can't be placed
+// before it is given up.
+func hopeless(now time.Time, it Item, wait time.Duration) bool {
+	factor := hopelessFactor
+	if it.Returned {
+		factor = hopelessReturned
+	}
+	return wait.Seconds() > factor*max(0, it.GiveUp.Sub(now).Seconds())
+}
+
+// retryAfter returns when the caller of a refused request should come back: when what waits
+// now is expected to be served, later by the time that the callers refused before need. If
+// that is later than the caller would wait, the delays are spread over the second half of the
+// time that it does.
+func (q *Queue) retryAfter(now time.Time, it Item) time.Duration {
+	s := q.service(it.Service)
+	limit := maxRetryAfter
+	if !it.Deadline.IsZero() {
+		limit = max(minRetryAfter, time.Duration(maxRetryShare*float64(it.Deadline.Sub(now))))
+	}
+	after, spacing := defaultRetryAfter, time.Duration(0)
+	if rate, ok := s.capacity.rate(now); ok {
+		after = max(minRetryAfter, seconds((s.size+s.capacity.PeersWaiting)/rate))
+		spacing = seconds(it.Size / (rate * s.share() * returnShare))
+	}
+	at := now.Add(after)
+	if s.capacity.nextReturn.After(at) {
+		at = s.capacity.nextReturn
+	}
+	if at.Sub(now) > limit {
+		return limit/2 + time.Duration(fraction(it.ID)*float64(limit/2))
+	}
+	s.capacity.nextReturn = at.Add(spacing)
+	if spacing == 0 {
+		return min(limit, after/2+time.Duration(fraction(it.ID)*float64(after)))
+	}
+	return at.Sub(now)
+}
+
+// seconds converts a number of seconds to a duration of an hour at most.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, 3600) * float64(time.Second))
+}
+
+// fraction returns a number from 0 to 1 that differs between ids.
+func fraction(id uint64) float64 {
+	id = (id + 0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	id = (id ^ id>>29) * 0x94d049bb133111eb
+	return float64(id>>11) / (1 << 53)
+}
--- /dev/null
+++ b/core/waitqueue/shares.go
@@ -0,0 +1,180 @@
+package waitqueue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usageHalfLife is the age at which consumed capacity counts half. It is some times the
+	// time that a request runs, so that a share is not used up by one large request.
+	usageHalfLife = 2 * time.Second
+	// kindGuarantee is the part of its even share that each kind gets before the order by
+	// priority and value applies.
+	kindGuarantee = 0.25
+	// maxExponent is the number of half-lives after which the consumed capacity is scaled
+	// anew.
+	maxExponent = 200
+	// maxIdleConsumers bounds the accounts, and the kinds, that are remembered while nothing
+	// of them waits.
+	maxIdleConsumers = 512
+)
+
+// consumer is an account or a kind of requests. used is the capacity that it consumed lately,
+// scaled by the decay clock.
+type consumer struct {
+	weight, used float64
+	// flows is the number of flows with waiting requests.
+	flows int
+	// seen is the number of the pass of shares that counted it last.
+	seen uint64
+}
+
+// decayClock gives new consumption a weight that doubles with each half-life, which has the
+// same effect on shares as halving what was consumed before.
+type decayClock struct {
+	start time.Time
+	pass  uint64
+}
+
+func (s *service) account(name string, weight float64) *consumer {
+	c, ok := s.accounts[name]
+	if !ok {
+		c = &consumer{}
+		s.accounts[name] = c
+	}
+	if c.weight = weight; weight <= 0 {
+		c.weight = 1
+	}
+	return c
+}
+
+func (s *service) kind(key kindKey) *consumer {
+	c, ok := s.kinds[key]
+	if !ok {
+		c = &consumer{weight: 1}
+		s.kinds[key] = c
+	}
+	return c
+}
+
+// charge records that a request has started.
+func (s *service) charge(now time.Time, it Item) {
+	if s.clock.start.IsZero() || now.Before(s.clock.start) {
+		s.clock.start = now
+	}
+	exponent := float64(now.Sub(s.clock.start)) / float64(usageHalfLife)
+	if exponent > maxExponent {
+		for _, c := range s.accounts {
+			c.used *= math.Exp2(-exponent)
+		}
+		for _, c := range s.kinds {
+			c.used *= math.Exp2(-exponent)
+		}
+		s.clock.start, exponent = now, 0
+	}
+	amount := it.Size * math.Exp2(exponent)
+	s.account(it.Account, it.Weight).used += amount
+	s.kind(kindKey{it.Kind, sizeClass(it.Size)}).used += amount
+}
+
+// prune bounds the memory for accounts and kinds of which nothing waits.
+func (s *service) prune() {
+	if len(s.accounts) > maxIdleConsumers {
+		pruneIdle(s.accounts)
+	}
+	if len(s.kinds) > maxIdleConsumers {
+		pruneIdle(s.kinds)
+	}
+}
+
+// pruneIdle forgets the consumers of which nothing waits and that used less than the mean,
+// and all of which nothing waits if that is not enough.
+func pruneIdle[K comparable](all map[K]*consumer) {
+	total := 0.0
+	for _, c := range all {
+		total += c.used
+	}
+	mean := total / float64(len(all))
+	for key, c := range all {
+		if c.flows == 0 && c.used <= mean {
+			delete(all, key)
+		}
+	}
+}
+
+// shares is what the waiting accounts and kinds consumed and are entitled to.
+type shares struct {
+	accountUsed, accountWeight float64
+	kindUsed, kindWeight       float64
+}
+
+// shares sums up over the accounts and the kinds of which requests wait. The share of the
+// others is lent to them.
+func (s *service) shares() shares {
+	s.clock.pass++
+	var out shares
+	for _, f := range s.flows {
+		if a := f.account; a.seen != s.clock.pass {
+			a.seen = s.clock.pass
+			out.accountUsed += a.used
+			out.accountWeight += a.weight
+		}
+		if k := f.kind; k.seen != s.clock.pass {
+			k.seen = s.clock.pass
+			out.kindUsed += k.used
+			out.kindWeight += k.weight
+		}
+	}
+	return out
+}
+
+// rank is the place of a request in the order.
+type rank struct {
+	// late requests can no longer be served in time. starved is true if the kind has less
+	// than its guarantee, over true if the account has more than its share.
+	late, starved, over, returned bool
+	priority                      int
+	density                       float64
+	startBy                       time.Time
+}
+
+// rank returns the place of a request of a flow; the flow is nil if nothing of its account and
+// kind waits.
+func (s *service) rank(now time.Time, it Item, f *flow, sh shares) rank {
+	account, kind := s.accounts[it.Account], (*consumer)(nil)
+	if f != nil {
+		account, kind = f.account, f.kind
+	} else {
+		kind = s.kinds[kindKey{it.Kind, sizeClass(it.Size)}]
+	}
+	value := it.Value
+	if value <= 0 {
+		value = 1
+	}
+	return rank{
+		late:     now.After(it.StartBy),
+		starved:  kind == nil || kind.used*sh.kindWeight < kindGuarantee*kind.weight*sh.kindUsed,
+		over:     account != nil && account.used*sh.accountWeight > account.weight*sh.accountUsed,
+		returned: it.Returned, priority: it.Priority, density: value / max(it.Size, 1), startBy: it.StartBy,
+	}
+}
+
+// before reports whether a goes before b.
+func (a rank) before(b rank) bool {
+	switch {
+	case a.late != b.late:
+		return b.late
+	case a.starved != b.starved:
+		return a.starved
+	case a.over != b.over:
+		return b.over
+	case a.returned != b.returned:
+		return a.returned
+	case a.priority != b.priority:
+		return a.priority < b.priority
+	case a.density != b.density:
+		return a.density > b.density
+	}
+	return a.startBy.Before(b.startBy)
+}
