Send what waits for each service with the gossip

Cause: instances that see the same free capacity all take it; the share of each depends on what waits elsewhere.

Change: field 52 of message.Gossip, a list of service, count and size, summed up over the instances that Loads covers. It is empty while nothing waits. Ruled out: a coordinator, and a list by account, which grows with the accounts.

--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -106,9 +106,12 @@
 	}
 	g.Streams.MergeGossip(now, m)
 	if !counted {
-		m.Loads = message.LoadTable{}
+		m.Loads, m.Waiting = message.LoadTable{}, nil
 	}
 	g.Replicas.MergeGossip(now, m)
+	if g.Waiting != nil && counted {
+		g.Waiting.MergeGossip(now, m)
+	}
 }
 
 // receiveLeaderStatus merges a relayed status of the leader. It returns when the newest
@@ -188,6 +191,9 @@
 	}
 	g.mu.Unlock()
 	g.Replicas.FillGossip(now, &m, since, names)
+	if g.Waiting != nil && m.Relation != peering.Unrelated {
+		g.Waiting.FillGossip(now, &m, names)
+	}
 	m.OldestFetched = mergeOldestFetched(append(oldestFetched, m.OldestFetched))
 	return m
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -57,6 +57,8 @@
 	Crashes Crashes
 	// Streams merges and provides the software versions that served.
 	Streams Streams
+	// Waiting merges and provides what waits for replicas.
+	Waiting Waiting
 
 	mu      sync.Mutex
 	peering peering.Peering
@@ -110,6 +112,16 @@
 	FillGossip(now time.Time, m *message.Gossip)
 }
 
+// Waiting is the state of the requests that wait for replicas.
+type Waiting interface {
+	// MergeGossip merges the loads of a counted peer, which FillGossip of the peer filled.
+	MergeGossip(now time.Time, m message.Gossip)
+	// FillGossip adds to a message what waits at this instance and at the given peers.
+	FillGossip(now time.Time, m *message.Gossip, peers map[string]bool)
+	// DropPeers drops what the named peers reported.
+	DropPeers(names []string)
+}
+
 // peer is what a peer last reported, apart from the state in peering.
 type peer struct {
 	// oldestFetched is the OldestFetched of its last message.
@@ -261,6 +273,9 @@
 		g.OnLimitGroup(group, granting)
 	}
 	g.Replicas.DropPeerLoads(uncounted)
+	if g.Waiting != nil {
+		g.Waiting.DropPeers(uncounted)
+	}
 	return calls, wait
 }
 
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -55,6 +55,18 @@
 	// Leaving has the replicas that stated that they leave, as far as the receiver has not
 	// acknowledged them.
 	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
+	// Waiting has what waits for the replicas of each service at the instances that Loads
+	// covers.
+	Waiting []ServiceWaiting `cbor:"52,keyasint,omitempty"`
+}
+
+// ServiceWaiting is the number of requests that wait for a service, and the sum of their sizes
+// in tokens, or in requests for services without tokens.
+type ServiceWaiting struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Count   int
+	Size    int
 }
 
 // LeavingReplica is an incarnation of a replica that leaves. Age is how long the sender has
