Place requests from the queue where relay.Relay.Queue is set

Change: with Queue set (default off; Relay.queues asks by service), a request that finds no room waits in its turn, and is woken by the end of a request, a response that states free slots, loads from peers, a change of a replica, or a check every 500 ms (100 ms while replicas become available by time). A stopping instance refuses what waits. With Queue off the path is as before.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -21,6 +21,7 @@
 
 	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/limitgroup"
+	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
@@ -181,12 +182,18 @@
 		e.limits.SetGrantors(now(), granting)
 		e.streams.SetOwners(granting, g.Size())
 		e.retryBudgets.SetInstances(g.Size())
+		e.relay.Waiting().SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas, Control: platform.Control,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
 		Limits: e.limits, Streams: e.streams, NotifyPeers: e.gossip.NotifyPeers,
 	}
+	e.gossip.Waiting = e.relay.Waiting()
+	e.replicas.OnChange = func(now time.Time, r pool.Replica) {
+		e.streams.ReplicaChanged(now, r)
+		e.relay.Waiting().WakeAll()
+	}
 	return e
 }
 
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -71,6 +71,9 @@
 	c.observeLimit(now, pl, info, sentAt)
 	if info.HasLoad {
 		rs.WithPool(func(p *pool.Pool) { p.SetReportedLoad(now, pl.ID, info.Running, info.Waiting) })
+		if info.Running < pl.Slots && c.relay.queues(c.service.Name) {
+			c.relay.Waiting().Wake(c.service.Name)
+		}
 	}
 	if info.KeepAlive > 0 {
 		rs.SetKeepAlive(pl.ID, info.KeepAlive)
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -92,12 +92,15 @@
 			return ref
 		}
 		if ref := c.checkBreaker(); ref != nil {
-			c.relay.Replicas.End(pl)
+			c.endPlacement(pl)
 			return ref
 		}
 		c.summary.attempts++
 		done, runState, err := c.attempt(pl)
-		c.relay.Replicas.End(pl)
+		if done {
+			c.observeEnd(pl)
+		}
+		c.endPlacement(pl)
 		if done {
 			return nil
 		}
@@ -182,6 +185,9 @@
 // latency, and then returns a refusal. It does not wait if no replica is eligible at all,
 // or if no limit has room within that time.
 func (c *call) place() (*replicas.Placement, *refusal) {
+	if c.relay.queues(c.service.Name) {
+		return c.placeQueued()
+	}
 	wait := defaultPlacementWait
 	if c.route.TargetLatency > 0 {
 		wait = time.Duration(placementWaitShare * float64(c.route.TargetLatency))
@@ -199,14 +205,7 @@
 		}
 		reason := ref.Reason
 		if pl != nil {
-			c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
-			c.summary.software = pl.Software
-			c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
-			if pl.Cold {
-				c.relay.Metrics.coldGrants.Inc(1)
-			}
-			c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
-			c.summary.placementTime = now.Sub(c.began)
+			c.recordPlacement(now, pl)
 			return pl, nil
 		}
 		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica {
@@ -231,6 +230,18 @@
 	}
 }
 
+// recordPlacement records the replica that was chosen.
+func (c *call) recordPlacement(now time.Time, pl *replicas.Placement) {
+	c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
+	c.summary.software = pl.Software
+	c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
+	if pl.Cold {
+		c.relay.Metrics.coldGrants.Inc(1)
+	}
+	c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
+	c.summary.placementTime = now.Sub(c.began)
+}
+
 // acquireGrant requests the grant of a placed request to a limited replica. If it is
 // denied, the replica gets no such request until a grant may be available.
 func (c *call) acquireGrant(pl *replicas.Placement, priority int) bool {
@@ -337,6 +348,7 @@
 	c.relay.Crashes.retractCrashes(now, pl.ID, pl.Incarnation, conn.firstUse(now))
 	rs.ResponseStarted(now, pl)
 	c.summary.firstByteTime = now.Sub(c.began)
+	c.observeFirst()
 	if c.copyResponse(pl, resp, sentAt) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
 	}
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -138,6 +138,27 @@
 	m.counter(labels{metric: "tries_allowed", service: service, outcome: outcome}).Inc(1)
 }
 
+// countRefusedEarly counts a request that was refused on arrival or in favour of others, and
+// countRefusedAgain one whose caller had been refused before.
+func (m *Metrics) countRefusedEarly(service, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "refused_early", service: service, outcome: reason}).Inc(1)
+}
+
+func (m *Metrics) countRefusedAgain(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "refused_again", service: service}).Inc(1)
+}
+
+// recordWait records how long a request waited in the queue.
+func (m *Metrics) recordWait(service string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.histogram(labels{metric: "queue_wait", service: service}).RecordDuration(d)
+}
+
 func (m *Metrics) counter(l labels) tally.Counter {
 	c, ok := m.counters[l]
 	if !ok {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -68,7 +68,12 @@
 	Crashes *Crashes
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
+	// Queue is true if requests wait in an ordered queue for replicas. Otherwise each waits on
+	// its own.
+	Queue bool
 
+	waitingOnce sync.Once
+	waiting     *Waiting
 	// shutdown is nil unless the instance is stopping.
 	shutdown atomic.Pointer[shutdown.Shutdown]
 	inFlight atomic.Int64
@@ -83,7 +88,10 @@
 
 // BeginShutdown closes each caller's connection after the next response on it, and refuses
 // requests that may not complete before the end.
-func (rl *Relay) BeginShutdown(s shutdown.Shutdown) { rl.shutdown.Store(&s) }
+func (rl *Relay) BeginShutdown(s shutdown.Shutdown) {
+	rl.shutdown.Store(&s)
+	rl.Waiting().stop()
+}
 
 // EndRequests ends all requests that run. Those without a response get their final one.
 func (rl *Relay) EndRequests() {
@@ -136,7 +144,7 @@
 	longest := c.relay.durations.Longest(c.route.Name)
 	c.relay.mu.Unlock()
 	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), Streams: c.route.Kind == route.Streaming, TimeLeft: c.deadline.Sub(now), Longest: longest}) {
-		return notRun("instance-stops", stoppingRetry)
+		return notRun(codeStopping, stoppingRetry)
 	}
 	c.deadline = s.Deadline(c.deadline)
 	return nil
@@ -165,6 +173,9 @@
 	software string
 	// connOpened is when the connection to the replica of the last attempt was first used.
 	connOpened time.Time
+	// returned is true if the caller seems to come back after a refusal, and arrived true once
+	// that was looked up.
+	returned, arrived bool
 	// budget bounds the retries of the service's requests.
 	budget *retry.Budget
 	// deadline is when the timeout of the caller or of the route expires.
@@ -409,10 +420,15 @@
 	// retryAfter is the delay in the Retry-After header; 0 omits the header, since a
 	// retry would not help.
 	retryAfter time.Duration
+	// exact is true if retryAfter is spread already.
+	exact bool
 	// abort closes the connection without a response.
 	abort bool
 }
 
+// codeStopping is the code of refusals of an instance that stops.
+const codeStopping = "instance-stops"
+
 // notRun returns a refusal of a request that was not run and will not be.
 func notRun(code string, retryAfter time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: retryAfter}
@@ -431,7 +447,10 @@
 	c.closeIfStopping()
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
-		after := ref.retryAfter.Seconds() * (1 + retryAfterJitter*rand.Float64())
+		after := ref.retryAfter.Seconds()
+		if !ref.exact {
+			after *= 1 + retryAfterJitter*rand.Float64()
+		}
 		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
 	}
 	h.Set("Content-Type", "application/json")
