--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -21,8 +21,8 @@
 
 	"crocusfold.dev/core/grantors"
 	"crocusfold.dev/core/limitgroup"
-	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/membership"
+	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retry"
 	"crocusfold.dev/core/roster"
 	"crocusfold.dev/core/shutdown"
