Refuse by what the kind has seen, and let late requests wait on

Change: accounts have half of their share before priorities and all of it within one; the rate for a request is reduced by what arrives with a higher priority; each kind learns within which part of its patience the expected wait must be; a request that misses its latest start waits on behind the others instead of being refused.

--- a/core/waitqueue/estimate.go
+++ b/core/waitqueue/estimate.go
@@ -1,6 +1,9 @@
 package waitqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Capacity is what the instances together know of a service.
 type Capacity struct {
@@ -32,11 +35,23 @@
 	minFinished = 8
 	// holdDecay is what each completed request leaves of the weight of the earlier ones.
 	holdDecay = 0.98
-	// A new request is refused on arrival only if it is expected to wait hopelessFactor times
-	// as long as it may, since the estimate is uncertain; the caller of a returned request has
-	// been told to come, so that it is hopelessReturned then.
-	hopelessFactor   = 1.25
-	hopelessReturned = 2.0
+	// The caller of a returned request has been told to come, so that it is refused on arrival
+	// only if it is expected to wait returnedFactor times as long as it may.
+	returnedFactor = 2.0
+	// A new request is refused on arrival if it is expected to wait for more than a share of the
+	// time that it may. The share is learned for each kind: it falls to shareAfterLate of itself
+	// with each request that waited and was not placed in time, and rises by sharePerStart with
+	// each that was, so that about one of twelve that wait is refused late. It stays between
+	// minWaitShare and maxWaitShare.
+	shareAfterLate = 0.5
+	sharePerStart  = 0.03
+	minWaitShare   = 0.1
+	maxWaitShare   = 0.8
+	// arrivalTime is the time over which arrivals are averaged.
+	arrivalTime = 2 * time.Second
+	// minRateShare is the part of the rate that is left to a request at least, whatever
+	// arrives with a higher priority.
+	minRateShare = 0.15
 	// unknownComposition is the part of what waits at peers that is assumed to go before a
 	// request while nothing waits here.
 	unknownComposition = 0.5
@@ -106,17 +121,55 @@
 	} else {
 		ahead = unknownComposition * s.capacity.PeersWaiting
 	}
-	return seconds(ahead / rate), true
+	// What arrives later with a higher priority goes before the request, too.
+	return seconds(ahead / max(minRateShare*rate, rate-s.urgentArrivals(now, it.Priority))), true
+}
+
+// arrive records the arrival of a request.
+func (s *service) arrive(now time.Time, it Item) {
+	k := s.kind(kindKey{it.Kind, sizeClass(it.Size)})
+	k.arrived = k.arrivedLately(now) + it.Size
+	k.arrivedAt, k.priority = now, it.Priority
+}
+
+// arrivedLately returns the size of the requests that arrived within about arrivalTime.
+func (c *consumer) arrivedLately(now time.Time) float64 {
+	return c.arrived * math.Exp(-now.Sub(c.arrivedAt).Seconds()/arrivalTime.Seconds())
+}
+
+// urgentArrivals returns the capacity per second that requests with a higher priority need,
+// over all instances, which are assumed to get the same.
+func (s *service) urgentArrivals(now time.Time, priority int) float64 {
+	sum := 0.0
+	for _, k := range s.kinds {
+		if k.priority < priority && k.arrived > 0 {
+			sum += k.arrivedLately(now)
+		}
+	}
+	return sum / arrivalTime.Seconds() * float64(max(s.capacity.Instances, 1))
 }
 
 // hopeless reports whether a request that is expected to wait for a time can't be placed
 // before it is given up.
-func hopeless(now time.Time, it Item, wait time.Duration) bool {
-	factor := hopelessFactor
-	if it.Returned {
-		factor = hopelessReturned
+func (s *service) hopeless(now time.Time, it Item, wait time.Duration) bool {
+	factor := returnedFactor
+	if !it.Returned {
+		factor = s.kind(kindKey{it.Kind, sizeClass(it.Size)}).share()
+	}
+	return wait.Seconds() > factor*max(0, it.StartBy.Sub(now).Seconds())
+}
+
+// share returns the learned part of the time that a request may wait within which it must be
+// expected to be placed.
+func (c *consumer) share() float64 { return maxWaitShare - c.distrust }
+
+// placed records that a request of the kind was placed after waiting, or was refused late.
+func (c *consumer) placed(inTime bool) {
+	share := c.share() + sharePerStart
+	if !inTime {
+		share = c.share() * shareAfterLate
 	}
-	return wait.Seconds() > factor*max(0, it.GiveUp.Sub(now).Seconds())
+	c.distrust = maxWaitShare - min(max(share, minWaitShare), maxWaitShare)
 }
 
 // retryAfter returns when the caller of a refused request should come back: when what waits
--- a/core/waitqueue/flow.go
+++ b/core/waitqueue/flow.go
@@ -119,6 +119,9 @@
 		}
 		heap.Pop(&f.inTime)
 		e.late = true
+		if !e.Returned {
+			f.kind.placed(false)
+		}
 		heap.Push(&f.late, e)
 	}
 	if len(f.late) > 0 {
--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -114,7 +114,8 @@
 // queue at its bound. It returns the other requests that are refused to keep to the bound.
 func (q *Queue) Enter(now time.Time, it Item) (Decision, []Eviction) {
 	s := q.service(it.Service)
-	if wait, known := s.expectedWait(now, it); known && hopeless(now, it, wait) {
+	s.arrive(now, it)
+	if wait, known := s.expectedWait(now, it); known && s.hopeless(now, it, wait) {
 		return Refuse{Hopeless, q.retryAfter(now, it)}, nil
 	}
 	e := q.add(now, s, it)
@@ -186,13 +187,22 @@
 	if !ok {
 		return
 	}
+	if !e.late && !e.Returned {
+		e.flow.kind.placed(true)
+	}
 	q.drop(e)
-	q.StartedAtOnce(now, e.Item)
+	q.services[e.Service].started(now, e.Item)
 }
 
 // StartedAtOnce charges the account and kind of a request that did not wait.
 func (q *Queue) StartedAtOnce(now time.Time, it Item) {
 	s := q.service(it.Service)
+	s.arrive(now, it)
+	s.started(now, it)
+}
+
+// started charges the account and kind of a request that goes to a replica.
+func (s *service) started(now time.Time, it Item) {
 	s.charge(now, it)
 	s.taken.size += it.Size
 	if b := s.blocked; b != nil && b.Size > it.Size {
@@ -211,7 +221,9 @@
 // Refused returns the Retry-After delay of a request that is refused although it was not
 // refused on arrival, and removes it.
 func (q *Queue) Refused(now time.Time, it Item) time.Duration {
-	q.Remove(it.ID)
+	if e, ok := q.items[it.ID]; ok {
+		q.drop(e)
+	}
 	return q.retryAfter(now, it)
 }
 
--- a/core/waitqueue/shares.go
+++ b/core/waitqueue/shares.go
@@ -9,9 +9,11 @@
 	// usageHalfLife is the age at which consumed capacity counts half. It is some times the
 	// time that a request runs, so that a share is not used up by one large request.
 	usageHalfLife = 2 * time.Second
-	// kindGuarantee is the part of its even share that each kind gets before the order by
-	// priority and value applies.
-	kindGuarantee = 0.25
+	// kindGuarantee and accountGuarantee are the parts of its share that each kind and each
+	// account gets before the order by priority applies. Within a priority, accounts have
+	// their whole shares.
+	kindGuarantee    = 0.25
+	accountGuarantee = 0.5
 	// maxExponent is the number of half-lives after which the consumed capacity is scaled
 	// anew.
 	maxExponent = 200
@@ -24,6 +26,13 @@
 // scaled by the decay clock.
 type consumer struct {
 	weight, used float64
+	// arrived is the size of the requests of a kind that arrived until arrivedAt, counted less
+	// with their age, and priority that of the last one.
+	arrived   float64
+	arrivedAt time.Time
+	priority  int
+	// distrust is by how much the learned share of a kind is below the largest one.
+	distrust float64
 	// flows is the number of flows with waiting requests.
 	flows int
 	// seen is the number of the pass of shares that counted it last.
@@ -131,12 +140,12 @@
 
 // rank is the place of a request in the order.
 type rank struct {
-	// late requests can no longer be served in time. starved is true if the kind has less
-	// than its guarantee, over true if the account has more than its share.
-	late, starved, over, returned bool
-	priority                      int
-	density                       float64
-	startBy                       time.Time
+	// late requests can no longer be served in time. owed is true if the kind or the account
+	// has less than its guarantee, over true if the account has more than its share.
+	late, owed, returned, over bool
+	priority                   int
+	density                    float64
+	startBy                    time.Time
 }
 
 // rank returns the place of a request of a flow; the flow is nil if nothing of its account and
@@ -153,8 +162,9 @@
 		value = 1
 	}
 	return rank{
-		late:     now.After(it.StartBy),
-		starved:  kind == nil || kind.used*sh.kindWeight < kindGuarantee*kind.weight*sh.kindUsed,
+		late: now.After(it.StartBy),
+		owed: kind == nil || account == nil || kind.used*sh.kindWeight < kindGuarantee*kind.weight*sh.kindUsed ||
+			account.used*sh.accountWeight < accountGuarantee*account.weight*sh.accountUsed,
 		over:     account != nil && account.used*sh.accountWeight > account.weight*sh.accountUsed,
 		returned: it.Returned, priority: it.Priority, density: value / max(it.Size, 1), startBy: it.StartBy,
 	}
@@ -165,14 +175,14 @@
 	switch {
 	case a.late != b.late:
 		return b.late
-	case a.starved != b.starved:
-		return a.starved
-	case a.over != b.over:
-		return b.over
-	case a.returned != b.returned:
-		return a.returned
+	case a.owed != b.owed:
+		return a.owed
 	case a.priority != b.priority:
 		return a.priority < b.priority
+	case a.returned != b.returned:
+		return a.returned
+	case a.over != b.over:
+		return b.over
 	case a.density != b.density:
 		return a.density > b.density
 	}
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -17,11 +17,14 @@
 	// placementWaitShare.
 	maxPlacementWaitShare = 0.85
 	firstFactor           = 1.25
-	// firstWeight is the weight of a new observation in the moving average of that time.
-	firstWeight = 0.1
-	// returnedWaitShare is the share of the time left for which a request waits whose caller
-	// has come back after a refusal, or that has been at a replica.
-	returnedWaitShare = 0.4
+	// wholeFactor times the usual time of a whole response are left to it before the deadline.
+	wholeFactor = 1.25
+	// averageWeight is the weight of a new observation in the moving averages of these times.
+	averageWeight = 0.1
+	// waitShareOfTimeLeft is the share of the time left for which a request waits at most. One
+	// that could not be served in time goes on waiting, behind the others: if it were refused,
+	// its caller would come back later for the same capacity.
+	waitShareOfTimeLeft = 0.4
 )
 
 // placeQueued is place for services whose requests wait in the queue. They wait until their
@@ -196,16 +199,22 @@
 		lowest, highest := time.Duration(placementWaitShare*float64(target)), time.Duration(maxPlacementWaitShare*float64(target))
 		it.StartBy = c.began.Add(min(max(wait, lowest), highest))
 	}
-	it.GiveUp = it.StartBy
-	if it.Returned {
-		patience := now.Add(time.Duration(returnedWaitShare * float64(c.deadline.Sub(now))))
-		if patience.After(it.GiveUp) {
-			it.GiveUp = patience
-		}
+	// A response that begins later does not end before the deadline.
+	latest := c.deadline.Add(-time.Duration(wholeFactor * float64(times.whole)))
+	it.GiveUp = earlier(now.Add(time.Duration(waitShareOfTimeLeft*float64(c.deadline.Sub(now)))), latest)
+	if it.Returned || it.GiveUp.Before(it.StartBy) {
+		it.StartBy = it.GiveUp
 	}
 	return it
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // observeFirst records the time from the choice of a replica to its response head.
 func (c *call) observeFirst() {
 	if !c.relay.queues(c.service.Name) {
@@ -214,11 +223,15 @@
 	w := c.relay.Waiting()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t, took := w.times(c.route.Name), c.summary.firstByteTime-c.summary.placementTime
-	if t.first == 0 {
-		t.first = took
+	average(&w.times(c.route.Name).first, c.summary.firstByteTime-c.summary.placementTime)
+}
+
+// average adds an observation to a moving average, which is 0 before the first one.
+func average(mean *time.Duration, d time.Duration) {
+	if *mean == 0 {
+		*mean = d
 	}
-	t.first += time.Duration(firstWeight * float64(took-t.first))
+	*mean += time.Duration(averageWeight * float64(d-*mean))
 }
 
 // observeEnd records how long the request occupied its replica.
@@ -230,5 +243,6 @@
 	took := w.relay.Now().Sub(c.began) - c.summary.placementTime
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	average(&w.times(c.route.Name).whole, took)
 	w.queue.Finished(c.service.Name, max(1, float64(pl.Load.Tokens)), took)
 }
--- a/entry/relay/waiting.go
+++ b/entry/relay/waiting.go
@@ -56,9 +56,9 @@
 // routeTimes is what is learned of the requests of a route.
 type routeTimes struct {
 	timeouts waitqueue.Timeouts
-	// first is the moving average of the time from the choice of a replica to the response
-	// head; 0 if not known.
-	first time.Duration
+	// first and whole are the moving averages of the times from the choice of a replica to the
+	// response head and to the end of the response; 0 if not known.
+	first, whole time.Duration
 }
 
 // peerWaiting is what waits at a peer and at the instances that it aggregates.
