Have requests of one flow share a priority and a class of density

Change: the flow key has the priority, and the density goes by the class of sizes. The flows are kept in a list, and the state of accounts and kinds is computed once per decision. Services for which nothing waits are forgotten beyond 256.

--- a/core/waitqueue/estimate.go
+++ b/core/waitqueue/estimate.go
@@ -108,11 +108,14 @@
 	if !ok {
 		return 0, false
 	}
-	key := flowKey{it.Account, kindKey{it.Kind, sizeClass(it.Size)}}
-	shares, ahead := s.shares(), 0.0
-	own := s.rank(now, it, s.flows[key], shares)
-	for _, f := range s.flows {
-		if f.key == key || s.rank(now, f.head(now).Item, f, shares).before(own) {
+	shares, ahead, same := s.shares(), 0.0, s.flows[keyOf(it)]
+	own := s.place(now, it, shares)
+	for _, f := range s.list {
+		if f == same {
+			ahead += f.size
+			continue
+		}
+		if place := f.head(now).place(now); place.before(&own) {
 			ahead += f.size
 		}
 	}
--- a/core/waitqueue/flow.go
+++ b/core/waitqueue/flow.go
@@ -22,16 +22,29 @@
 	return int(math.Ceil(math.Log2(size) / 2))
 }
 
+// classSize is the largest size of the class of a size. The order goes by it, so that it is the
+// same for all requests of a class.
+func classSize(size float64) float64 {
+	return float64(uint64(1) << min(2*sizeClass(size), 62))
+}
+
 type flowKey struct {
-	account string
-	kind    kindKey
+	account  string
+	kind     kindKey
+	priority int
+}
+
+// keyOf returns the flow of a request.
+func keyOf(it Item) flowKey {
+	return flowKey{it.Account, kindKey{it.Kind, sizeClass(it.Size)}, it.Priority}
 }
 
 // entry is a request in a flow.
 type entry struct {
 	Item
-	seq  uint64
-	flow *flow
+	seq     uint64
+	flow    *flow
+	density float64
 	// index is the place in the heap, late true if that is the heap of late requests.
 	index int
 	late  bool
@@ -40,10 +53,12 @@
 	passed float64
 }
 
-// flow has the waiting requests of one account, kind and class of sizes.
+// flow has the waiting requests of one account, kind, class of sizes and priority.
 type flow struct {
 	key           flowKey
 	account, kind *consumer
+	// index is the place in the list of the service.
+	index int
 	// size is the sum of the sizes.
 	size float64
 	// inTime has the requests that could be served in time when they were last looked at,
--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -67,6 +67,10 @@
 	defaultMaxBytes = 16 << 20
 )
 
+// maxServices bounds the services for which nothing waits; configurations may have named many
+// over time.
+const maxServices = 256
+
 // maxPassed is how many times its size smaller requests may take while a request finds no room.
 const maxPassed = 4
 
@@ -83,7 +87,9 @@
 
 // service is what waits for one service.
 type service struct {
-	flows    map[flowKey]*flow
+	flows map[flowKey]*flow
+	// list has the flows, which are looked through for each decision.
+	list     []*flow
 	accounts map[string]*consumer
 	kinds    map[kindKey]*consumer
 	// waiting is the number of requests that wait, size the sum of their sizes.
@@ -104,6 +110,13 @@
 		if q.services == nil {
 			q.services = map[string]*service{}
 		}
+		if len(q.services) >= maxServices {
+			for other, s := range q.services {
+				if s.waiting == 0 {
+					delete(q.services, other)
+				}
+			}
+		}
 		s = &service{flows: map[flowKey]*flow{}, accounts: map[string]*consumer{}, kinds: map[kindKey]*consumer{}}
 		q.services[name] = s
 	}
@@ -151,15 +164,15 @@
 	if !known || s.waiting == 0 {
 		return Item{}, false
 	}
-	shares := s.shares()
+	s.shares()
 	var best *entry
 	var bestRank rank
-	for _, f := range s.flows {
+	for _, f := range s.list {
 		e := f.head(now)
 		if e.Size >= below || skip[e.ID] {
 			continue
 		}
-		if r := s.rank(now, e.Item, f, shares); best == nil || r.before(bestRank) {
+		if r := e.place(now); best == nil || r.before(&bestRank) {
 			best, bestRank = e, r
 		}
 	}
@@ -249,15 +262,17 @@
 // add puts a request into its flow.
 func (q *Queue) add(now time.Time, s *service, it Item) *entry {
 	q.seq++
-	key := flowKey{it.Account, kindKey{it.Kind, sizeClass(it.Size)}}
+	key := keyOf(it)
 	f, ok := s.flows[key]
 	if !ok {
 		f = &flow{key: key, account: s.account(key.account, it.Weight), kind: s.kind(key.kind)}
 		s.flows[key] = f
+		f.index = len(s.list)
+		s.list = append(s.list, f)
 		f.account.flows++
 		f.kind.flows++
 	}
-	e := &entry{Item: it, seq: q.seq, flow: f}
+	e := &entry{Item: it, seq: q.seq, flow: f, density: it.density()}
 	f.push(now, e)
 	if q.items == nil {
 		q.items = map[uint64]*entry{}
@@ -285,6 +300,10 @@
 	}
 	if f.empty() {
 		delete(s.flows, f.key)
+		last := s.list[len(s.list)-1]
+		s.list[f.index], last.index = last, f.index
+		s.list[len(s.list)-1] = nil
+		s.list = s.list[:len(s.list)-1]
 		f.account.flows--
 		f.kind.flows--
 	}
@@ -295,10 +314,10 @@
 	var worst *entry
 	var worstRank rank
 	for _, s := range q.services {
-		shares := s.shares()
-		for _, f := range s.flows {
+		s.shares()
+		for _, f := range s.list {
 			e := f.last()
-			if r := s.rank(now, e.Item, f, shares); worst == nil || worstRank.before(r) {
+			if r := e.place(now); worst == nil || worstRank.before(&r) {
 				worst, worstRank = e, r
 			}
 		}
--- a/core/waitqueue/shares.go
+++ b/core/waitqueue/shares.go
@@ -35,8 +35,10 @@
 	distrust float64
 	// flows is the number of flows with waiting requests.
 	flows int
-	// seen is the number of the pass of shares that counted it last.
-	seen uint64
+	// seen is the number of the pass of shares that counted it last. owed and over are what
+	// that pass found, as in rank.
+	seen       uint64
+	owed, over bool
 }
 
 // decayClock gives new consumption a weight that doubles with each half-life, which has the
@@ -104,7 +106,8 @@
 	for _, c := range all {
 		total += c.used
 	}
-	mean := total / float64(len(all))
+	// Equal consumers must not stay because of rounding.
+	mean := 1.001 * total / float64(len(all))
 	for key, c := range all {
 		if c.flows == 0 && c.used <= mean {
 			delete(all, key)
@@ -123,7 +126,7 @@
 func (s *service) shares() shares {
 	s.clock.pass++
 	var out shares
-	for _, f := range s.flows {
+	for _, f := range s.list {
 		if a := f.account; a.seen != s.clock.pass {
 			a.seen = s.clock.pass
 			out.accountUsed += a.used
@@ -135,9 +138,27 @@
 			out.kindWeight += k.weight
 		}
 	}
+	for _, f := range s.list {
+		f.account.owed, f.account.over = out.ofAccount(f.account)
+		f.kind.owed = out.ofKind(f.kind)
+	}
 	return out
 }
 
+// ofAccount reports whether an account has less than its guarantee, and more than its share.
+func (sh shares) ofAccount(a *consumer) (owed, over bool) {
+	if a == nil {
+		return true, false
+	}
+	used, share := a.used*sh.accountWeight, a.weight*sh.accountUsed
+	return used < accountGuarantee*share, used > share
+}
+
+// ofKind reports whether a kind has less than its guarantee.
+func (sh shares) ofKind(k *consumer) bool {
+	return k == nil || k.used*sh.kindWeight < kindGuarantee*k.weight*sh.kindUsed
+}
+
 // rank is the place of a request in the order.
 type rank struct {
 	// late requests can no longer be served in time. owed is true if the kind or the account
@@ -148,30 +169,34 @@
 	startBy                    time.Time
 }
 
-// rank returns the place of a request of a flow; the flow is nil if nothing of its account and
-// kind waits.
-func (s *service) rank(now time.Time, it Item, f *flow, sh shares) rank {
-	account, kind := s.accounts[it.Account], (*consumer)(nil)
-	if f != nil {
-		account, kind = f.account, f.kind
-	} else {
-		kind = s.kinds[kindKey{it.Kind, sizeClass(it.Size)}]
+// place returns the place of a waiting request.
+func (e *entry) place(now time.Time) rank {
+	return rank{
+		late: now.After(e.StartBy), owed: e.flow.kind.owed || e.flow.account.owed, over: e.flow.account.over,
+		returned: e.Returned, priority: e.Priority, density: e.density, startBy: e.StartBy,
 	}
+}
+
+// place returns the place of a request that does not wait yet.
+func (s *service) place(now time.Time, it Item, sh shares) rank {
+	accountOwed, over := sh.ofAccount(s.accounts[it.Account])
+	return rank{
+		late: now.After(it.StartBy), owed: accountOwed || sh.ofKind(s.kinds[keyOf(it).kind]), over: over,
+		returned: it.Returned, priority: it.Priority, density: it.density(), startBy: it.StartBy,
+	}
+}
+
+// density returns the value of a request for the capacity that it occupies.
+func (it *Item) density() float64 {
 	value := it.Value
 	if value <= 0 {
 		value = 1
 	}
-	return rank{
-		late: now.After(it.StartBy),
-		owed: kind == nil || account == nil || kind.used*sh.kindWeight < kindGuarantee*kind.weight*sh.kindUsed ||
-			account.used*sh.accountWeight < accountGuarantee*account.weight*sh.accountUsed,
-		over:     account != nil && account.used*sh.accountWeight > account.weight*sh.accountUsed,
-		returned: it.Returned, priority: it.Priority, density: value / max(it.Size, 1), startBy: it.StartBy,
-	}
+	return value / classSize(it.Size)
 }
 
 // before reports whether a goes before b.
-func (a rank) before(b rank) bool {
+func (a *rank) before(b *rank) bool {
 	switch {
 	case a.late != b.late:
 		return b.late
