Keep second attempts of idempotent requests away from replicas that respond with 500

Cause: after a 500 the second attempt went to any other replica, 25 ms later. A complete 500 lowered the failure rate of its replica again, and at the users' rates an instance sends a replica one look-up in four seconds, so that the failure rate (3 s) forgets what it has seen.

Change, where the queue is used: a 500 that is passed on no longer lowers the rate; errors of idempotent requests are kept for 30 s and weigh in their choice; a second attempt does not go where the last response was an error within 250 ms, and waits in the queue if that is everywhere. Ruled out: one rate for all kinds, since the successes of orders hide errors that only look-ups have.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -37,6 +37,10 @@
 	SampleSeed uint64
 	// Software is the software version that the replica must have; empty if any will do.
 	Software string
+	// Idempotent requests go by the errors that others of them had. AvoidErring is true if the
+	// request has had an error itself and must not go to a replica that has just responded with
+	// one.
+	Idempotent, AvoidErring bool
 	// ClosedDataCentres holds the data centres that get no work, and Tried the
 	// replicas that the request was already sent to.
 	ClosedDataCentres, Tried map[string]bool
@@ -194,6 +198,8 @@
 			wait = shorter(wait, p.waits.Left(now, r.ID, r.Incarnation))
 		case r.deferred(now, req.Priority):
 			wait = shorter(wait, r.deferredUntil.Sub(now))
+		case req.AvoidErring && r.erring(now):
+			reason = Erring
 		case now.Before(r.avoidUntil):
 			avoided = append(avoided, candidate{r, version})
 		default:
@@ -281,7 +287,7 @@
 		if !ok {
 			continue
 		}
-		cost := estimate.Delay
+		cost := estimate.Delay + r.errorCost(now, req)
 		if r.version < newest {
 			cost += oldVersionDelay
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -105,6 +105,7 @@
 	// failRate is the moving average of failed requests, from 0 to 1.
 	failRate float64
 	failAt   time.Time
+	errors   errors
 }
 
 // pendingReload is an upcoming change of a replica's weights to a version. It is
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -10,6 +10,7 @@
 
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
+	"crocusfold.dev/core/route"
 	"crocusfold.dev/core/statedlimit"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/guard"
@@ -120,6 +121,11 @@
 // response came on conn.
 func (c *call) checkResponse(now time.Time, pl *replicas.Placement, resp *http.Response, info adapter.ResponseInfo, conn *connUse) error {
 	rs := c.relay.Replicas
+	if c.route.Kind == route.Idempotent && !info.Refused && c.relay.queues(c.service.Name) {
+		rs.WithPool(func(p *pool.Pool) {
+			p.IdempotentResponse(now, pl.ID, resp.StatusCode >= http.StatusInternalServerError)
+		})
+	}
 	switch {
 	case info.Refused && !conn.believeRefusal(c.info.ID, info.ID):
 		rs.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -17,6 +17,7 @@
 	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
+	"crocusfold.dev/core/route"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/replicas"
@@ -54,6 +55,7 @@
 	pool.Failing:   600 * time.Millisecond,
 	pool.Full:      400 * time.Millisecond,
 	pool.Limited:   400 * time.Millisecond,
+	pool.Erring:    400 * time.Millisecond,
 }
 
 // Failures of one attempt.
@@ -109,6 +111,7 @@
 			continue
 		}
 		c.attemptedReplicas[pl.ID] = true
+		c.hadError = errors.Is(err, errServerError)
 		if ref := c.afterFailure(runState, err); ref != nil {
 			return ref
 		}
@@ -263,6 +266,9 @@
 		ClosedDataCentres: c.relay.Topics.Intent().ClosedDataCentres,
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
+	if c.relay.queues(c.service.Name) {
+		req.Idempotent, req.AvoidErring = c.route.Kind == route.Idempotent, c.hadError
+	}
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -176,6 +176,8 @@
 	// returned is true if the caller seems to come back after a refusal, and arrived true once
 	// that was looked up.
 	returned, arrived bool
+	// hadError is true if the last attempt had an error of the replica as response.
+	hadError bool
 	// budget bounds the retries of the service's requests.
 	budget *retry.Budget
 	// deadline is when the timeout of the caller or of the route expires.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -95,7 +95,7 @@
 		}
 		if err == io.EOF {
 			c.summary.outcome = "ok"
-			c.relay.Replicas.WithPool(func(p *pool.Pool) { p.Succeeded(pl.ID) })
+			c.recordCompleted(pl, resp.StatusCode)
 			// A replica may return an error without running the request, so only a status
 			// below 300 counts as a successful run.
 			if resp.StatusCode < http.StatusMultipleChoices {
@@ -110,6 +110,21 @@
 	}
 }
 
+// recordCompleted records that a response of a replica was passed on completely. Where the queue
+// is used, an error does not lower the failure rate of its replica.
+func (c *call) recordCompleted(pl *replicas.Placement, status int) {
+	c.relay.Replicas.WithPool(func(p *pool.Pool) {
+		switch {
+		case !c.relay.queues(c.service.Name):
+			p.Succeeded(pl.ID)
+		case status >= http.StatusInternalServerError:
+			p.CompletedError(pl.ID)
+		default:
+			p.Succeeded(pl.ID)
+		}
+	})
+}
+
 // recordSuccess records a complete response of a run that was sent at sentAt.
 func (c *call) recordSuccess(sentAt time.Time) {
 	now := c.relay.Now()
