Start slowly after an outage of a service

Cause: after a restart all callers come at once, and what is sent then waits in prefill queues, where no order holds.

Change: when a replica takes a request after none could for 500 ms, or the first one of the process, what is sent and has no response yet is bounded to a tenth of the instance's share of the capacity for up to 4 s; the bound grows by each request whose response begins. The rest waits in the order of the queue.

--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -33,3 +33,19 @@
 	}
 	return sum
 }
+
+// Capacity returns what the replicas of a service hold at most: tokens if they have a memory in
+// tokens, and otherwise requests.
+func (p *Pool) Capacity(service string, memory int) float64 {
+	sum := 0.0
+	for _, r := range p.replicas {
+		switch {
+		case r.Service != service || r.Draining:
+		case memory > 0:
+			sum += float64(memory)
+		default:
+			sum += fullSlots * float64(max(r.Slots, 1))
+		}
+	}
+	return sum
+}
--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -99,6 +99,7 @@
 	clock    decayClock
 	capacity capacity
 	taken    taken
+	recovery recovery
 	// blocked is the request that went next and found no room; nil if there is none.
 	blocked *entry
 }
@@ -218,6 +219,7 @@
 func (s *service) started(now time.Time, it Item) {
 	s.charge(now, it)
 	s.taken.size += it.Size
+	s.recovery.unanswered += it.Size
 	if b := s.blocked; b != nil && b.Size > it.Size {
 		b.passed += it.Size
 	}
--- a/core/waitqueue/queue_test.go
+++ b/core/waitqueue/queue_test.go
@@ -30,6 +30,8 @@
 //	observe HELD PEERS COUNT    sets what is held, what waits at peers and the instances
 //	finished COUNT SIZE MS      has requests end
 //	take ID SIZE FREE           prints whether a request may take free capacity
+//	recover TOTAL               begins a recovery of replicas of a total capacity
+//	answered SIZE, allows ID SIZE   has a response begin, prints whether a request may be sent
 //	returned KEY, refused KEY   ask for and remember the key of a refused request
 //	timeout MS [COUNT]          prints whether the last caller seems to have come back
 func TestQueue(t *testing.T) {
@@ -88,6 +90,12 @@
 				}
 			case "take":
 				return []string{strconv.FormatBool(q.MayTake(now, Item{ID: uint64(num(1)), Service: "s", Size: num(2)}, num(3)))}
+			case "recover":
+				q.Recover(now, "s", num(1))
+			case "answered":
+				q.Answered("s", num(1), true)
+			case "allows":
+				return []string{strconv.FormatBool(q.RecoveryAllows(now, Item{ID: uint64(num(1)), Service: "s", Size: num(2)}))}
 			case "refused":
 				returns.Add(now, time.Second, uint64(num(1)))
 			case "returned":
--- a/entry/relay/burst_test.go
+++ b/entry/relay/burst_test.go
@@ -45,6 +45,7 @@
 	prefillPerMs                 = 92.1
 	burstFactor                  = 2.3
 	burstFrom, burstTime         = 4 * time.Second, 6800 * time.Millisecond
+	restartBacklog               = 2 * time.Second
 	loadTime                     = 16 * time.Second
 	accounts                     = 24
 	// The accounts from this one on send a quarter of the requests together.
@@ -158,8 +159,16 @@
 	}
 }
 
-// playBurst plays the page's load with the burst of drafts, and returns what callers got.
-func playBurst(t *testing.T, queue bool, seed uint64) *results {
+// play is a load: with the page's burst of drafts, or after a restart of everything, when the
+// requests of two seconds come at once.
+type play struct {
+	queue   bool
+	seed    uint64
+	restart bool
+}
+
+// run plays the load and returns what callers got.
+func (p play) run(t *testing.T) *results {
 	res := &results{sent: map[string]int{}, inTime: map[string]int{}, served: map[string]int{}}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -189,10 +198,10 @@
 		}
 		var fleet []*Relay
 		for range burstInstances {
-			fleet = append(fleet, newRelay(ctx, t, in, all, dial, queue))
+			fleet = append(fleet, newRelay(ctx, t, in, all, dial, p.queue))
 		}
 		go exchange(ctx, fleet)
-		rnd := rand.New(rand.NewPCG(seed, 2))
+		rnd := rand.New(rand.NewPCG(p.seed, 2))
 		var wg sync.WaitGroup
 		began := time.Now()
 		for i := 0; ; i++ {
@@ -203,12 +212,14 @@
 			total, rates := 0.0, make([]float64, len(kinds))
 			for j, k := range kinds {
 				rates[j] = k.rate * loadFactor
-				if k.name == "drafts" && at >= burstFrom && at < burstFrom+burstTime {
+				if k.name == "drafts" && !p.restart && at >= burstFrom && at < burstFrom+burstTime {
 					rates[j] *= burstFactor
 				}
 				total += rates[j]
 			}
-			time.Sleep(time.Duration(rnd.ExpFloat64() / total * float64(time.Second)))
+			if !p.restart || float64(i) > total*restartBacklog.Seconds() {
+				time.Sleep(time.Duration(rnd.ExpFloat64() / total * float64(time.Second)))
+			}
 			pick, chosen := rnd.Float64()*total, 0
 			for pick > rates[chosen] && chosen < len(kinds)-1 {
 				pick -= rates[chosen]
@@ -243,7 +254,7 @@
 	var poll, queue results
 	for seed := range uint64(2) {
 		for name, sum := range map[string]*results{"poll": &poll, "queue": &queue} {
-			r := playBurst(t, name == "queue", seed)
+			r := play{queue: name == "queue", seed: seed}.run(t)
 			sum.add(r)
 			t.Logf("seed %d, %s: refused early %d, late %d, again %d; in time: %s; served: %s", seed, name, r.refusedEarly, r.refusedLate, r.again, r.shares(r.inTime), r.shares(r.served))
 		}
@@ -266,3 +277,18 @@
 		}
 	}
 }
+
+// TestRestart guards against a start of everything at which the requests that come at once keep
+// each other from being served in time, and are refused late, so that they come again.
+func TestRestart(t *testing.T) {
+	var poll, queue results
+	for seed := range uint64(2) {
+		poll.add(play{seed: seed, restart: true}.run(t))
+		queue.add(play{queue: true, seed: seed, restart: true}.run(t))
+	}
+	t.Logf("poll: late %d, again %d, in time %s; queue: late %d, again %d, in time %s", poll.refusedLate, poll.again, poll.shares(poll.inTime), queue.refusedLate, queue.again, queue.shares(queue.inTime))
+	if queue.refusedLate*4 > poll.refusedLate || queue.again > poll.again+2 || queue.inTime["questions"] < poll.inTime["questions"]-10 || queue.served["drafts"] < poll.served["drafts"]-5 {
+		t.Errorf("refused late %d (poll %d), again %d (%d), in time %s (%s), served %s (%s)", queue.refusedLate, poll.refusedLate, queue.again, poll.again,
+			queue.shares(queue.inTime), poll.shares(poll.inTime), queue.shares(queue.served), poll.shares(poll.served))
+	}
+}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -354,7 +354,7 @@
 	c.relay.Crashes.retractCrashes(now, pl.ID, pl.Incarnation, conn.firstUse(now))
 	rs.ResponseStarted(now, pl)
 	c.summary.firstByteTime = now.Sub(c.began)
-	c.observeFirst()
+	c.observeFirst(pl)
 	if c.copyResponse(pl, resp, sentAt) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
 	}
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -54,9 +54,17 @@
 // endPlacement stops counting a request as in flight, and has waiting ones take its place.
 func (c *call) endPlacement(pl *replicas.Placement) {
 	c.relay.Replicas.End(pl)
-	if c.relay.queues(c.service.Name) {
-		c.relay.Waiting().Wake(c.service.Name)
+	if !c.relay.queues(c.service.Name) {
+		return
+	}
+	w := c.relay.Waiting()
+	if !c.responded {
+		w.mu.Lock()
+		w.queue.Answered(c.service.Name, sizeOf(pl), false)
+		w.mu.Unlock()
 	}
+	c.responded = false
+	w.Wake(c.service.Name)
 }
 
 // restricted reports whether the request may not go to all replicas of its service.
@@ -219,16 +227,22 @@
 }
 
 // observeFirst records the time from the choice of a replica to its response head.
-func (c *call) observeFirst() {
+func (c *call) observeFirst(pl *replicas.Placement) {
 	if !c.relay.queues(c.service.Name) {
 		return
 	}
 	w := c.relay.Waiting()
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	average(&w.times(c.route.Name).first, c.summary.firstByteTime-c.summary.placementTime)
+	w.queue.Answered(c.service.Name, sizeOf(pl), true)
+	c.responded = true
+	w.mu.Unlock()
+	w.Wake(c.service.Name)
 }
 
+// sizeOf returns the size of a placed request as the queue sees it.
+func sizeOf(pl *replicas.Placement) float64 { return max(1, float64(pl.Load.Tokens)) }
+
 // average adds an observation to a moving average, which is 0 before the first one.
 func average(mean *time.Duration, d time.Duration) {
 	if *mean == 0 {
@@ -247,5 +261,5 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	average(&w.times(c.route.Name).whole, took)
-	w.queue.Finished(c.service.Name, max(1, float64(pl.Load.Tokens)), took)
+	w.queue.Finished(c.service.Name, sizeOf(pl), took)
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -176,6 +176,8 @@
 	// returned is true if the caller seems to come back after a refusal, and arrived true once
 	// that was looked up.
 	returned, arrived bool
+	// responded is true once the response of the current attempt has begun.
+	responded bool
 	// hadError is true if the last attempt had an error of the replica as response.
 	hadError bool
 	// budget bounds the retries of the service's requests.
--- a/entry/relay/waiting.go
+++ b/entry/relay/waiting.go
@@ -23,6 +23,8 @@
 	observeInterval = 20 * time.Millisecond
 	// peerWaitingTTL is how long counts what a peer reported.
 	peerWaitingTTL = 2 * time.Second
+	// minOutage is how long a service was not available if what follows is a recovery.
+	minOutage = 500 * time.Millisecond
 	// maxRoutes bounds the routes whose times are remembered.
 	maxRoutes = 1024
 )
@@ -48,6 +50,9 @@
 	observed map[string]time.Time
 	routes   map[string]*routeTimes
 	peers    map[string]peerWaiting
+	// unavailable has since when no replica of a service could be chosen for another reason
+	// than that all are full.
+	unavailable map[string]time.Time
 	// instances is the number of instances, with this one.
 	instances int
 	stopping  bool
@@ -86,7 +91,7 @@
 func (rl *Relay) Waiting() *Waiting {
 	rl.waitingOnce.Do(func() {
 		rl.waiting = &Waiting{
-			relay: rl, waiters: map[uint64]*waiter{}, observed: map[string]time.Time{}, routes: map[string]*routeTimes{}, peers: map[string]peerWaiting{},
+			relay: rl, waiters: map[uint64]*waiter{}, observed: map[string]time.Time{}, routes: map[string]*routeTimes{}, peers: map[string]peerWaiting{}, unavailable: map[string]time.Time{},
 		}
 	})
 	return rl.waiting
@@ -267,7 +272,32 @@
 			return nil, replicas.Refusal{Reason: pool.Full}
 		}
 	}
-	return w.relay.Replicas.Place(now, req)
+	if !w.queue.RecoveryAllows(now, it) {
+		return nil, replicas.Refusal{Reason: pool.Full}
+	}
+	pl, ref := w.relay.Replicas.Place(now, req)
+	w.observeAvailable(now, it.Service, req.Memory, pl != nil, ref.Reason)
+	return pl, ref
+}
+
+// observeAvailable begins a recovery when a replica takes a request after none could for
+// minOutage, or the first one of this process.
+func (w *Waiting) observeAvailable(now time.Time, service string, memory int, placed bool, reason pool.Reason) {
+	since, known := w.unavailable[service]
+	switch {
+	case !placed && (reason == pool.NoReplica || reason == pool.Reloading || reason == pool.Failing):
+		if !known || since.IsZero() {
+			w.unavailable[service] = now
+		}
+	case placed && (!known || !since.IsZero()):
+		w.unavailable[service] = time.Time{}
+		if known && now.Sub(since) < minOutage {
+			return
+		}
+		total := 0.0
+		w.relay.Replicas.WithPool(func(p *pool.Pool) { total = p.Capacity(service, memory) })
+		w.queue.Recover(now, service, total)
+	}
 }
 
 // end ends the waiting of a request. The queue may have removed it already.
