--- a/core/waitqueue/estimate.go
+++ b/core/waitqueue/estimate.go
@@ -84,6 +84,23 @@
 	c.finished++
 }
 
+// State is what a decision about a service is based on, for the log.
+type State struct {
+	// Waiting is the number of requests that wait here, Size the sum of their sizes, and
+	// PeersWaiting that of those at the peers.
+	Waiting            int
+	Size, PeersWaiting float64
+	// Rate is the capacity that becomes free per second; 0 if it is not known.
+	Rate float64
+}
+
+// State returns the state of a service.
+func (q *Queue) State(now time.Time, service string) State {
+	s := q.service(service)
+	rate, _ := s.capacity.rate(now)
+	return State{s.waiting, s.size, s.capacity.PeersWaiting, rate}
+}
+
 // rate returns the capacity that becomes free per second over all instances: what is held
 // divided by how long it is held. ok is false if it is not known.
 func (c *capacity) rate(now time.Time) (perSecond float64, ok bool) {
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -19,6 +19,7 @@
 	mu         sync.Mutex
 	counters   map[labels]tally.Counter
 	histograms map[labels]tally.Histogram
+	waiting    map[string]tally.Gauge
 	fetched    tally.Counter
 	saved      tally.Counter
 	prefilled  tally.Counter
@@ -46,7 +47,7 @@
 // NewMetrics returns metrics that are reported to a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := &Metrics{
-		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{},
+		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{}, waiting: map[string]tally.Gauge{},
 		fetched: scope.Counter("parts_fetched"), saved: scope.Counter("parts_saved"),
 		prefilled: scope.Counter("parts_read"), coldGrants: scope.Counter("cold_grants"),
 	}
@@ -152,6 +153,18 @@
 	m.counter(labels{metric: "refused_again", service: service}).Inc(1)
 }
 
+// setWaiting sets the number of requests that wait for a service.
+func (m *Metrics) setWaiting(service string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.waiting[service]
+	if !ok {
+		g = m.scope.Tagged(map[string]string{"service": service}).Gauge("waiting")
+		m.waiting[service] = g
+	}
+	g.Update(float64(n))
+}
+
 // recordWait records how long a request waited in the queue.
 func (m *Metrics) recordWait(service string, d time.Duration) {
 	m.mu.Lock()
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -98,20 +99,17 @@
 	decision, evicted := w.queue.Enter(now, it)
 	for _, e := range evicted {
 		wt := w.waiters[e.ID]
-		w.expect(now, wt.call, e.RetryAfter)
-		w.relay.Metrics.countRefusedEarly(it.Service, string(waitqueue.Overflow))
-		w.end(wt, outcome{refusal: &refusal{status: http.StatusServiceUnavailable, code: string(waitqueue.Overflow), retryAfter: e.RetryAfter, exact: true}})
+		w.end(wt, outcome{refusal: w.refuseEarly(now, wt.call, wt.item, waitqueue.Overflow, e.RetryAfter)})
 	}
 	if r, ok := decision.(waitqueue.Refuse); ok {
 		defer w.mu.Unlock()
-		w.expect(now, c, r.RetryAfter)
-		w.relay.Metrics.countRefusedEarly(it.Service, string(r.Reason))
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: string(r.Reason), retryAfter: r.RetryAfter, exact: true}
+		return nil, w.refuseEarly(now, c, it, r.Reason, r.RetryAfter)
 	}
 	wt := &waiter{call: c, item: it, outcome: make(chan outcome, 1), reason: reason}
 	w.waiters[it.ID] = wt
 	w.count.Add(1)
 	w.pass(now, it.Service)
+	w.reportWaiting(it.Service)
 	w.mu.Unlock()
 	o := w.wait(wt)
 	w.relay.Metrics.recordWait(it.Service, w.relay.Now().Sub(began))
@@ -135,6 +133,7 @@
 	}
 	delete(w.waiters, wt.item.ID)
 	w.count.Add(-1)
+	defer w.reportWaiting(wt.item.Service)
 	now := w.relay.Now()
 	if wt.call.ctx.Err() != nil {
 		w.queue.Remove(wt.item.ID)
@@ -157,8 +156,29 @@
 	if ref.Reason != pool.Full {
 		after = max(after, retryAfterByReason[ref.Reason], ref.Wait)
 	}
+	return w.refusal(now, c, it, string(ref.Reason), after)
+}
+
+// refuseEarly returns the refusal of a request that is refused on arrival, or in favour of others.
+func (w *Waiting) refuseEarly(now time.Time, c *call, it waitqueue.Item, reason waitqueue.Reason, after time.Duration) *refusal {
+	w.relay.Metrics.countRefusedEarly(it.Service, string(reason))
+	return w.refusal(now, c, it, string(reason), after)
+}
+
+// refusal logs a refusal and what it is based on, and remembers the caller.
+func (w *Waiting) refusal(now time.Time, c *call, it waitqueue.Item, code string, after time.Duration) *refusal {
+	st := w.queue.State(now, it.Service)
+	_ = w.relay.Logger.Log("id", c.info.ID, "msg", "Queue: refused a request.", "service", it.Service, "route", it.Kind, "account", it.Account, "reason", code,
+		"size", it.Size, "returned", it.Returned, "patience", it.StartBy.Sub(now).Round(time.Millisecond), "retry-after", after.Round(time.Millisecond),
+		"waiting", st.Waiting, "waiting-size", st.Size, "peers-size", st.PeersWaiting, "rate", strconv.FormatFloat(st.Rate, 'f', 1, 64))
 	w.expect(now, c, after)
-	return &refusal{status: http.StatusServiceUnavailable, code: string(ref.Reason), retryAfter: after, exact: true}
+	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: after, exact: true}
+}
+
+// reportWaiting updates the metric of what waits for a service.
+func (w *Waiting) reportWaiting(service string) {
+	count, _ := w.queue.Waiting(service)
+	w.relay.Metrics.setWaiting(service, count)
 }
 
 // expect remembers that the caller of a refused request will come back.
--- a/entry/relay/waiting.go
+++ b/entry/relay/waiting.go
@@ -253,6 +253,7 @@
 		wt.reason = ref.Reason
 		blocked++
 	}
+	w.reportWaiting(service)
 	if count, _ := w.queue.Waiting(service); count > 0 {
 		w.checkIn(now, interval)
 	}
