--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -22,6 +22,9 @@
 	wholeFactor = 1.25
 	// averageWeight is the weight of a new observation in the moving averages of these times.
 	averageWeight = 0.1
+	// spreadShare bounds a delay that is spread by up to a half, as callers honour at most a third
+	// of the time that they have left.
+	spreadShare = 0.2
 	// waitShareOfTimeLeft is the share of the time left for which a request waits at most. One
 	// that could not be served in time goes on waiting, behind the others: if it were refused,
 	// its caller would come back later for the same capacity.
@@ -153,10 +156,15 @@
 // refuse returns the refusal of a request that could not be placed in time.
 func (w *Waiting) refuse(now time.Time, c *call, it waitqueue.Item, ref replicas.Refusal) *refusal {
 	after := w.queue.Refused(now, it)
-	if ref.Reason != pool.Full {
-		after = max(after, retryAfterByReason[ref.Reason], ref.Wait)
+	if ref.Reason == pool.Full {
+		return w.refusal(now, c, it, string(ref.Reason), after)
 	}
-	return w.refusal(now, c, it, string(ref.Reason), after)
+	// These times are the same for all requests, so that the delay is spread as usual.
+	longest := time.Duration(spreadShare * float64(c.deadline.Sub(now)))
+	after = max(after, min(longest, max(retryAfterByReason[ref.Reason], ref.Wait)))
+	out := w.refusal(now, c, it, string(ref.Reason), after)
+	out.exact = false
+	return out
 }
 
 // refuseEarly returns the refusal of a request that is refused on arrival, or in favour of others.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -38,9 +38,6 @@
 	// revocationMargin is subtracted from the time for which a revoked key may still
 	// be served, to allow for the transit of the request and for clock errors.
 	revocationMargin = 400 * time.Millisecond
-	// stoppingRetry is the delay in the Retry-After header of a stopping instance. Callers
-	// return on a new connection, which leads to another one.
-	stoppingRetry = 50 * time.Millisecond
 	// defaultTimeout applies to a request if the caller states no timeout. The route
 	// may set a shorter one.
 	defaultTimeout = 30 * time.Second
@@ -86,23 +83,6 @@
 	ended   bool
 }
 
-// BeginShutdown closes each caller's connection after the next response on it, and refuses
-// requests that may not complete before the end.
-func (rl *Relay) BeginShutdown(s shutdown.Shutdown) {
-	rl.shutdown.Store(&s)
-	rl.Waiting().stop()
-}
-
-// EndRequests ends all requests that run. Those without a response get their final one.
-func (rl *Relay) EndRequests() {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.ended = true
-	for _, cancel := range rl.running {
-		cancel()
-	}
-}
-
 // start registers a request that runs, so that EndRequests ends it. The returned function
 // removes it.
 func (rl *Relay) start(c *call, cancel context.CancelFunc) (remove func()) {
@@ -125,31 +105,6 @@
 	}
 }
 
-// closeIfStopping makes the response the last one on the caller's connection if the instance
-// is stopping. It must be called before the head of the response is written.
-func (c *call) closeIfStopping() {
-	if c.relay.shutdown.Load() != nil {
-		c.w.Header().Set("Connection", "close")
-	}
-}
-
-// checkShutdown returns a refusal if the instance is stopping and the request may not
-// complete before the end, and bounds the deadline of the others.
-func (c *call) checkShutdown(now time.Time) *refusal {
-	s := c.relay.shutdown.Load()
-	if s == nil {
-		return nil
-	}
-	c.relay.mu.Lock()
-	longest := c.relay.durations.Longest(c.route.Name)
-	c.relay.mu.Unlock()
-	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), Streams: c.route.Kind == route.Streaming, TimeLeft: c.deadline.Sub(now), Longest: longest}) {
-		return notRun(codeStopping, stoppingRetry)
-	}
-	c.deadline = s.Deadline(c.deadline)
-	return nil
-}
-
 // InFlight returns the number of requests that are being served.
 func (rl *Relay) InFlight() int { return int(rl.inFlight.Load()) }
 
@@ -430,9 +385,6 @@
 	abort bool
 }
 
-// codeStopping is the code of refusals of an instance that stops.
-const codeStopping = "instance-stops"
-
 // notRun returns a refusal of a request that was not run and will not be.
 func notRun(code string, retryAfter time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: retryAfter}
