--- a/core/pool/answer.go
+++ b/core/pool/answer.go
@@ -22,6 +22,9 @@
 	othersWeight = 0.1
 )
 
+// ServiceContended reports whether requests of a service compete for replicas.
+func (p *Pool) ServiceContended(service string) bool { return p.contended(service) }
+
 // contended reports whether requests of a service compete for replicas, so that replicas are
 // chosen by the whole response.
 func (p *Pool) contended(service string) bool { return p.Contended || p.stating[service] }
--- a/core/pool/best.go
+++ b/core/pool/best.go
@@ -31,7 +31,7 @@
 		if !ok {
 			return
 		}
-		cost := estimate.Delay
+		cost := estimate.Delay + r.errorCost(now, req)
 		if r.version < newest {
 			cost += oldVersionDelay
 		}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -44,6 +44,10 @@
 	SampleSeed uint64
 	// Software is the software version that the replica must have; empty if any will do.
 	Software string
+	// Idempotent requests go by the errors that others of them had. AvoidErring is true if the
+	// request has had an error itself and must not go to a replica that has just responded with
+	// one.
+	Idempotent, AvoidErring bool
 	// ClosedDataCentres holds the data centres that get no work, and Tried the
 	// replicas that the request was already sent to.
 	ClosedDataCentres, Tried map[string]bool
@@ -215,6 +219,8 @@
 			wait = shorter(wait, p.waits.Left(now, r.ID, r.Incarnation))
 		case r.deferred(now, req.Priority):
 			wait = shorter(wait, r.deferredUntil.Sub(now))
+		case req.AvoidErring && r.erring(now):
+			reason = Erring
 		case now.Before(r.avoidUntil):
 			avoided = append(avoided, candidate{r, version})
 		default:
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -58,6 +58,18 @@
 	// HeldBytes has the sizes of the bodies that replicas of plain services hold of the
 	// requests in Loads, where requests compete for replicas.
 	HeldBytes map[string]int `cbor:"56,keyasint,omitempty"`
+	// Waiting has what waits for the replicas of each service at the instances that Loads
+	// covers.
+	Waiting []ServiceWaiting `cbor:"52,keyasint,omitempty"`
+}
+
+// ServiceWaiting is the number of requests that wait for a service, and the sum of their sizes
+// in tokens, or in requests for services without tokens.
+type ServiceWaiting struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Count   int
+	Size    int
 }
 
 // LeavingReplica is an incarnation of a replica that leaves. Age is how long the sender has
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -18,6 +18,7 @@
 	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
+	"crocusfold.dev/core/route"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/guard"
 	"crocusfold.dev/entry/replicas"
@@ -55,6 +56,7 @@
 	pool.Failing:   600 * time.Millisecond,
 	pool.Full:      400 * time.Millisecond,
 	pool.Limited:   400 * time.Millisecond,
+	pool.Erring:    400 * time.Millisecond,
 }
 
 // Failures of one attempt.
@@ -93,12 +95,15 @@
 			return ref
 		}
 		if ref := c.checkBreaker(); ref != nil {
-			c.relay.Replicas.End(pl)
+			c.endPlacement(pl)
 			return ref
 		}
 		c.summary.attempts++
 		done, runState, err := c.attempt(pl)
-		c.relay.Replicas.End(pl)
+		if done {
+			c.observeEnd(pl)
+		}
+		c.endPlacement(pl)
 		if done {
 			return nil
 		}
@@ -107,6 +112,7 @@
 			continue
 		}
 		c.attemptedReplicas[pl.ID] = true
+		c.hadError = errors.Is(err, errServerError)
 		if ref := c.afterFailure(runState, err); ref != nil {
 			return ref
 		}
@@ -183,6 +189,9 @@
 // latency, and then returns a refusal. It does not wait if no replica is eligible at all,
 // if no limit has room within that time, or if the response would end after its deadline.
 func (c *call) place() (*replicas.Placement, *refusal) {
+	if c.relay.queues(c.service.Name) {
+		return c.placeQueued()
+	}
 	wait := defaultPlacementWait
 	if c.route.TargetLatency > 0 {
 		wait = time.Duration(placementWaitShare * float64(c.route.TargetLatency))
@@ -200,15 +209,7 @@
 		}
 		reason := ref.Reason
 		if pl != nil {
-			c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
-			c.summary.software = pl.Software
-			c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
-			if pl.Cold {
-				c.relay.Metrics.coldGrants.Inc(1)
-			}
-			c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
-			c.summary.expectedEvents = req.Events
-			c.summary.placementTime = now.Sub(c.began)
+			c.recordPlacement(now, pl)
 			return pl, nil
 		}
 		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica || reason == pool.TooLate {
@@ -233,6 +234,19 @@
 	}
 }
 
+// recordPlacement records the replica that was chosen.
+func (c *call) recordPlacement(now time.Time, pl *replicas.Placement) {
+	c.summary.replica, c.summary.version, c.summary.context = pl.ID, pl.Version, pl.ContextSources()
+	c.summary.software = pl.Software
+	c.summary.parts, c.summary.fetched, c.summary.saved = pl.PartCounts()
+	if pl.Cold {
+		c.relay.Metrics.coldGrants.Inc(1)
+	}
+	c.summary.estimate, c.summary.prefillTokens = pl.Estimate, pl.Load.PendingPrefill
+	c.summary.expectedEvents = pl.ExpectedEvents()
+	c.summary.placementTime = now.Sub(c.began)
+}
+
 // acquireGrant requests the grant of a placed request to a limited replica. If it is
 // denied, the replica gets no such request until a grant may be available.
 func (c *call) acquireGrant(pl *replicas.Placement, priority int) bool {
@@ -255,6 +269,9 @@
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	c.boundAnswer(&req)
+	if c.relay.queues(c.service.Name) {
+		req.Idempotent, req.AvoidErring = c.route.Kind == route.Idempotent, c.hadError
+	}
 	if c.service.Engine == nil || c.info.Model == "" {
 		return req
 	}
@@ -344,6 +361,7 @@
 		rs.ResponseStarted(now, pl)
 	}
 	c.summary.firstByteTime = now.Sub(c.began)
+	c.observeFirst(pl)
 	if c.copyResponse(pl, resp, sentAt) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
 	}
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -19,6 +19,7 @@
 	mu         sync.Mutex
 	counters   map[labels]tally.Counter
 	histograms map[labels]tally.Histogram
+	waiting    map[string]tally.Gauge
 	fetched    tally.Counter
 	saved      tally.Counter
 	prefilled  tally.Counter
@@ -46,7 +47,7 @@
 // NewMetrics returns metrics that are reported to a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := &Metrics{
-		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{},
+		scope: scope, counters: map[labels]tally.Counter{}, histograms: map[labels]tally.Histogram{}, waiting: map[string]tally.Gauge{},
 		fetched: scope.Counter("parts_fetched"), saved: scope.Counter("parts_saved"),
 		prefilled: scope.Counter("parts_read"), coldGrants: scope.Counter("cold_grants"),
 	}
@@ -141,6 +142,39 @@
 	m.counter(labels{metric: "tries_allowed", service: service, outcome: outcome}).Inc(1)
 }
 
+// countRefusedEarly counts a request that was refused on arrival or in favour of others, and
+// countRefusedAgain one whose caller had been refused before.
+func (m *Metrics) countRefusedEarly(service, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "refused_early", service: service, outcome: reason}).Inc(1)
+}
+
+func (m *Metrics) countRefusedAgain(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "refused_again", service: service}).Inc(1)
+}
+
+// setWaiting sets the number of requests that wait for a service.
+func (m *Metrics) setWaiting(service string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.waiting[service]
+	if !ok {
+		g = m.scope.Tagged(map[string]string{"service": service}).Gauge("waiting")
+		m.waiting[service] = g
+	}
+	g.Update(float64(n))
+}
+
+// recordWait records how long a request waited in the queue.
+func (m *Metrics) recordWait(service string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.histogram(labels{metric: "queue_wait", service: service}).RecordDuration(d)
+}
+
 func (m *Metrics) counter(l labels) tally.Counter {
 	c, ok := m.counters[l]
 	if !ok {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -38,9 +38,6 @@
 	// revocationMargin is subtracted from the time for which a revoked key may still
 	// be served, to allow for the transit of the request and for clock errors.
 	revocationMargin = 400 * time.Millisecond
-	// stoppingRetry is the delay in the Retry-After header of a stopping instance. Callers
-	// return on a new connection, which leads to another one.
-	stoppingRetry = 50 * time.Millisecond
 	// defaultTimeout applies to a request if the caller states no timeout. The route
 	// may set a shorter one.
 	defaultTimeout = 30 * time.Second
@@ -69,6 +66,8 @@
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
 
+	waitingOnce sync.Once
+	waiting     *Waiting
 	// shutdown is nil unless the instance is stopping.
 	shutdown atomic.Pointer[shutdown.Shutdown]
 	inFlight atomic.Int64
@@ -81,20 +80,6 @@
 	ended   bool
 }
 
-// BeginShutdown closes each caller's connection after the next response on it, and refuses
-// requests that may not complete before the end.
-func (rl *Relay) BeginShutdown(s shutdown.Shutdown) { rl.shutdown.Store(&s) }
-
-// EndRequests ends all requests that run. Those without a response get their final one.
-func (rl *Relay) EndRequests() {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.ended = true
-	for _, cancel := range rl.running {
-		cancel()
-	}
-}
-
 // start registers a request that runs, so that EndRequests ends it. The returned function
 // removes it.
 func (rl *Relay) start(c *call, cancel context.CancelFunc) (remove func()) {
@@ -117,31 +102,6 @@
 	}
 }
 
-// closeIfStopping makes the response the last one on the caller's connection if the instance
-// is stopping. It must be called before the head of the response is written.
-func (c *call) closeIfStopping() {
-	if c.relay.shutdown.Load() != nil {
-		c.w.Header().Set("Connection", "close")
-	}
-}
-
-// checkShutdown returns a refusal if the instance is stopping and the request may not
-// complete before the end, and bounds the deadline of the others.
-func (c *call) checkShutdown(now time.Time) *refusal {
-	s := c.relay.shutdown.Load()
-	if s == nil {
-		return nil
-	}
-	c.relay.mu.Lock()
-	longest := c.relay.durations.Longest(c.route.Name)
-	c.relay.mu.Unlock()
-	if !s.Accepts(now, shutdown.Request{Repeatable: c.route.Retryable(), Streams: c.route.Kind == route.Streaming, TimeLeft: c.deadline.Sub(now), Longest: longest}) {
-		return notRun("instance-stops", stoppingRetry)
-	}
-	c.deadline = s.Deadline(c.deadline)
-	return nil
-}
-
 // InFlight returns the number of requests that are being served.
 func (rl *Relay) InFlight() int { return int(rl.inFlight.Load()) }
 
@@ -165,6 +125,13 @@
 	software string
 	// connOpened is when the connection to the replica of the last attempt was first used.
 	connOpened time.Time
+	// returned is true if the caller seems to come back after a refusal, and arrived true once
+	// that was looked up.
+	returned, arrived bool
+	// responded is true once the response of the current attempt has begun.
+	responded bool
+	// hadError is true if the last attempt had an error of the replica as response.
+	hadError bool
 	// budget bounds the retries of the service's requests.
 	budget *retry.Budget
 	// deadline is when the timeout of the caller or of the route expires.
@@ -415,6 +382,8 @@
 	// retryAfter is the delay in the Retry-After header; 0 omits the header, since a
 	// retry would not help.
 	retryAfter time.Duration
+	// exact is true if retryAfter is spread already.
+	exact bool
 	// abort closes the connection without a response.
 	abort bool
 }
@@ -437,7 +406,10 @@
 	c.closeIfStopping()
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
-		after := ref.retryAfter.Seconds() * (1 + retryAfterJitter*rand.Float64())
+		after := ref.retryAfter.Seconds()
+		if !ref.exact {
+			after *= 1 + retryAfterJitter*rand.Float64()
+		}
 		h.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
 	}
 	h.Set("Content-Type", "application/json")
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -65,6 +65,9 @@
 	return strings.Join(p.sources, ",")
 }
 
+// ExpectedEvents returns the expected number of events of the response; 0 if not known.
+func (p *Placement) ExpectedEvents() int { return p.request.Events }
+
 // PartCounts returns the number of shared parts of the prompt, and how many of them are
 // fetched from and saved to stores.
 func (p *Placement) PartCounts() (all, fetched, saved int) {
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -120,6 +120,13 @@
 // version is received, and the time until a replica begins with a request.
 const versionMargin = 800 * time.Millisecond
 
+// Contended reports whether requests of a service compete for replicas.
+func (rs *Replicas) Contended(service string) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.pool.ServiceContended(service)
+}
+
 // SetContended sets whether requests of all services compete for replicas. If not, those of
 // services whose replicas state their slowdown do.
 func (rs *Replicas) SetContended(contended bool) {
