Decide once for each request whether it waits in the queue

Cause: the gate was asked under the lock of Replicas, which it takes itself; each instance stopped at its first response (TestBurst hung). Change: forward asks it once and keeps the result.

--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -72,7 +72,7 @@
 	c.observeLimit(now, pl, info, sentAt)
 	if info.HasLoad {
 		rs.WithPool(func(p *pool.Pool) { p.SetReportedLoad(now, pl.ID, info.Running, info.Waiting) })
-		if info.Running < pl.Slots && c.relay.queues(c.service.Name) {
+		if info.Running < pl.Slots && c.queued {
 			c.relay.Waiting().Wake(c.service.Name)
 		}
 	}
@@ -124,7 +124,7 @@
 // response came on conn.
 func (c *call) checkResponse(now time.Time, pl *replicas.Placement, resp *http.Response, info adapter.ResponseInfo, conn *connUse) error {
 	rs := c.relay.Replicas
-	if c.route.Kind == route.Idempotent && !info.Refused && c.relay.queues(c.service.Name) {
+	if c.route.Kind == route.Idempotent && !info.Refused && c.queued {
 		rs.WithPool(func(p *pool.Pool) {
 			p.IdempotentResponse(now, pl.ID, resp.StatusCode >= http.StatusInternalServerError)
 		})
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -89,6 +89,7 @@
 // forward sends the request to one replica after the other until one responds. It
 // returns nil if the caller has received a response, and otherwise the refusal to send.
 func (c *call) forward() *refusal {
+	c.queued = c.relay.queues(c.service.Name)
 	for {
 		pl, ref := c.place()
 		if ref != nil {
@@ -189,7 +190,7 @@
 // latency, and then returns a refusal. It does not wait if no replica is eligible at all,
 // if no limit has room within that time, or if the response would end after its deadline.
 func (c *call) place() (*replicas.Placement, *refusal) {
-	if c.relay.queues(c.service.Name) {
+	if c.queued {
 		return c.placeQueued()
 	}
 	wait := defaultPlacementWait
@@ -269,7 +270,7 @@
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	c.boundAnswer(&req)
-	if c.relay.queues(c.service.Name) {
+	if c.queued {
 		req.Idempotent, req.AvoidErring = c.route.Kind == route.Idempotent, c.hadError
 	}
 	if c.service.Engine == nil || c.info.Model == "" {
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -58,7 +58,7 @@
 // endPlacement stops counting a request as in flight, and has waiting ones take its place.
 func (c *call) endPlacement(pl *replicas.Placement) {
 	c.relay.Replicas.End(pl)
-	if !c.relay.queues(c.service.Name) {
+	if !c.queued {
 		return
 	}
 	w := c.relay.Waiting()
@@ -256,7 +256,7 @@
 
 // observeFirst records the time from the choice of a replica to its response head.
 func (c *call) observeFirst(pl *replicas.Placement) {
-	if !c.relay.queues(c.service.Name) {
+	if !c.queued {
 		return
 	}
 	w := c.relay.Waiting()
@@ -281,7 +281,7 @@
 
 // observeEnd records how long the request occupied its replica.
 func (c *call) observeEnd(pl *replicas.Placement) {
-	if !c.relay.queues(c.service.Name) {
+	if !c.queued {
 		return
 	}
 	w := c.relay.Waiting()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -128,6 +128,8 @@
 	// returned is true if the caller seems to come back after a refusal, and arrived true once
 	// that was looked up.
 	returned, arrived bool
+	// queued is true if the request waits in the queue when no replica has room.
+	queued bool
 	// responded is true once the response of the current attempt has begun.
 	responded bool
 	// hadError is true if the last attempt had an error of the replica as response.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -118,7 +118,7 @@
 func (c *call) recordCompleted(pl *replicas.Placement, status int) {
 	c.relay.Replicas.WithPool(func(p *pool.Pool) {
 		switch {
-		case !c.relay.queues(c.service.Name):
+		case !c.queued:
 			p.Succeeded(pl.ID)
 		case status >= http.StatusInternalServerError:
 			p.CompletedError(pl.ID)
