Expect an event for each stride of tokens

Cause: the number of tokens that a request states was taken as its number of events, while an engine makes an event of as many tokens as its stride. Change: the expected number of events is the number of tokens by the stride.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -16,7 +16,8 @@
 		req.Target = c.began.Add(c.route.TargetLatency)
 	}
 	if c.service.Engine != nil {
-		req.Events, req.Stride = c.info.EstimateOutput(), c.service.Engine.Stride
+		req.Stride = c.service.Engine.Stride
+		req.Events = expectedEvents(c.info.EstimateOutput(), req.Stride)
 	}
 	if c.resumes() {
 		// The ids of events are their numbers, and a resumed stream has those after the last
@@ -28,6 +29,14 @@
 	}
 }
 
+// expectedEvents returns the expected number of events of a response with a number of tokens.
+// An engine makes one token for each request in a step of its batch, and an event after each
+// stride of steps; 0 means that the stride is not known.
+func expectedEvents(tokens, stride int) int {
+	stride = max(stride, 1)
+	return (tokens + stride - 1) / stride
+}
+
 const (
 	// minObservedGap is the least time between two observations of a stream. Shorter gaps are
 	// observed as their mean, so that the cost of observing does not grow with their number.
