Bound the memory for frames of peers that have not arrived whole

Cause: anybody who reaches the peer port can open a WebSocket, send 15 MB of a frame of 16 and withhold the rest; 20 of these took 463 to 507 MB of an instance with 72.

Change: shell/peer.Inbound has a limit for all frames that are incomplete.

--- a/entry/peerrpc/peerrpc.go
+++ b/entry/peerrpc/peerrpc.go
@@ -26,6 +26,8 @@
 	Token string
 	// Client opens the connections; nil means http.DefaultClient.
 	Client *http.Client
+	// Inbound bounds the memory for frames that arrive.
+	Inbound peer.Inbound
 
 	mu       sync.Mutex
 	peers    map[netip.AddrPort]*peer.Peer
@@ -37,7 +39,7 @@
 func (e *Endpoint) Handle(h Handler) { e.handlers = append(e.handlers, h) }
 
 // HTTPHandler returns the HTTP handler that serves the calls of peers.
-func (e *Endpoint) HTTPHandler() http.Handler { return peer.Accept(e.Token, e.handleRaw) }
+func (e *Endpoint) HTTPHandler() http.Handler { return peer.Accept(e.Token, &e.Inbound, e.handleRaw) }
 
 func (e *Endpoint) handleRaw(ctx context.Context, from string, raw []byte) ([]byte, error) {
 	msg, err := message.Codec.Decode(raw)
--- a/measure/costs/costs.go
+++ b/measure/costs/costs.go
@@ -353,7 +353,7 @@
 	if err != nil {
 		panic(err)
 	}
-	srv := &http.Server{Handler: peer.Accept("t", func(context.Context, string, []byte) ([]byte, error) { return report, nil })}
+	srv := &http.Server{Handler: peer.Accept("t", &peer.Inbound{}, func(context.Context, string, []byte) ([]byte, error) { return report, nil })}
 	go func() { _ = srv.Serve(countingListener{ln, &count}) }()
 	defer srv.Close()
 	p := &peer.Peer{Address: ln.Addr().(*net.TCPAddr).AddrPort(), Self: "self", Token: "t"}
--- a/shell/peer/peer.go
+++ b/shell/peer/peer.go
@@ -42,8 +42,8 @@
 
 // Accept returns the HTTP handler that accepts connections from peers that present the
 // token. If the token is empty, it accepts any connection, and the network must restrict
-// access.
-func Accept(token string, h Handler) http.Handler {
+// access. The frames that arrive share the memory of in.
+func Accept(token string, in *Inbound, h Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if token != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+token)) != 1 {
 			http.Error(w, "the peer token is wrong", http.StatusUnauthorized)
@@ -54,15 +54,15 @@
 			return
 		}
 		conn.SetReadLimit(maxFrameBytes)
-		serve(r.Context(), conn, r.Header.Get("X-Peer"), h)
+		serve(r.Context(), conn, in, r.Header.Get("X-Peer"), h)
 	})
 }
 
 // serve reads requests from conn until it fails, and handles each in its own goroutine.
-func serve(ctx context.Context, conn *websocket.Conn, from string, h Handler) {
+func serve(ctx context.Context, conn *websocket.Conn, in *Inbound, from string, h Handler) {
 	defer conn.CloseNow()
 	for {
-		_, raw, err := conn.Read(ctx)
+		raw, err := in.read(ctx, conn)
 		if err != nil {
 			return
 		}
