Bound what clients that are not trusted take of an instance

Cause: heads, bodies, responses that are not read and connections were bounded each by itself, if at all, and not together. The server's limits were fixed (64 KiB and 4 KiB that net/http adds, 5 s, 60 s) whatever the configuration says. A write to a caller that does not read had no deadline, and stayed beyond that of its request.

Ruled out: http.Server's own fields (they can't change while it serves); a limit on the number of header lines (16,384 bytes of 4-byte lines are legal); buffers that double; a deadline for a whole response (slow but steady readers are cut).

Change: entry/callerconns accounts each connection in the budget: the lines of a head before net/http builds its map, the pieces of a body as they arrive, and the requests in service. What gets no memory is not read. Limits of the configuration hold from the first request on and after each change. A head over the limit gets a 431, a body a 413 without reading on, both on a connection that stays half open for 0.5 s. An answer of which nothing is read for 10 s is reset; progress is what the peer acknowledges. The ready, peer and metrics ports have limits of their own and no budget. The soft limit of the heap is 60% of memoryMb. crocus-entry has the same with memory-mb and max-fds. Fuzz targets for heads and chunked bodies; the first found that a line end in two pieces did not end a head.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -23,11 +23,14 @@
 // its request id. It is the first half of a SHA-256 hash.
 type Fingerprint [16]byte
 
-// NewFingerprint returns the fingerprint of a request body.
-func NewFingerprint(body []byte) Fingerprint {
-	sum := sha256.Sum256(body)
+// NewFingerprint returns the fingerprint of a request body, which may be in pieces.
+func NewFingerprint(pieces ...[]byte) Fingerprint {
+	hash := sha256.New()
+	for _, piece := range pieces {
+		_, _ = hash.Write(piece)
+	}
 	var fp Fingerprint
-	copy(fp[:], sum[:])
+	copy(fp[:], hash.Sum(nil))
 	return fp
 }
 
--- a/entry/callerconns/callerconns.go
+++ b/entry/callerconns/callerconns.go
@@ -1,14 +1,30 @@
-// Package callerconns closes idle connections of callers without losing a request that
-// arrives at that moment, and lets callers open connections before they have a request.
+// Package callerconns accepts connections of callers that are not trusted. It bounds the heads
+// of their requests, closes callers that do not read, has connections wait while the instance
+// has no memory for them, and closes idle ones without losing a request that arrives at that
+// moment.
 package callerconns
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// socketBytes bounds the send and the receive buffer of a connection. The system lets them grow
+// to several MB, which also count as memory of the machine.
+const socketBytes = 128 << 10
+
+// Limits bound the head of a request and the times of a connection. Those that are 0 are not
+// set.
+type Limits struct {
+	// HeaderBytes bounds the request line, and the header lines together.
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
 // Listener accepts connections of callers and tracks which of them are idle. An http.Server
 // may close a connection as idle after it has read a part of a request, and then serves that
 // request nevertheless. A connection that a Listener closes delivers no more bytes.
@@ -18,27 +34,47 @@
 // from the first byte.
 type Listener struct {
 	net.Listener
+	// HeaderBytes, HeaderTimeout and IdleTimeout hold for what Current does not set.
+	HeaderBytes                int
 	HeaderTimeout, IdleTimeout time.Duration
+	// Current, if set, returns the limits that are in force now.
+	Current func() Limits
+	// Memory is shared with other listeners; nil means that there is no limit.
+	Memory *Memory
+
+	// MaxUpgraded bounds the connections that were taken over by their handlers; 0 is without
+	// limit. A new one takes the place of that on which nothing has come for the longest time.
+	MaxUpgraded int
+
+	// delayed is the number of connections that are kept open after a refusal.
+	delayed atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// upgraded has the connections that were taken over, if MaxUpgraded is set.
+	upgraded map[*conn]struct{}
 	// crossed is the number of connections on which bytes of a request arrived as they were
 	// closed as idle.
 	crossed int
 }
 
-// conn is a connection of a caller.
-type conn struct {
-	net.Conn
-	listener *Listener
-	accepted time.Time
-
-	mu sync.Mutex
-	// fresh is true until the first byte arrives.
-	fresh bool
-	// idle is true from the end of a response until bytes of the next request arrive.
-	// crossed is true if such bytes arrived as the connection was closed.
-	idle, closed, crossed bool
+// limits returns the limits in force.
+func (l *Listener) limits() Limits {
+	limits := Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	if l.Current == nil {
+		return limits
+	}
+	current := l.Current()
+	if current.HeaderBytes > 0 {
+		limits.HeaderBytes = current.HeaderBytes
+	}
+	if current.HeaderTimeout > 0 {
+		limits.HeaderTimeout = current.HeaderTimeout
+	}
+	if current.IdleTimeout > 0 {
+		limits.IdleTimeout = current.IdleTimeout
+	}
+	return limits
 }
 
 // Accept waits for the next connection.
@@ -47,16 +83,32 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l, accepted: time.Now(), fresh: true}
+	if tcp, ok := accepted.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(socketBytes)
+		_ = tcp.SetWriteBuffer(socketBytes)
+	}
+	c := &conn{Conn: accepted, listener: l, accepted: time.Now()}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.conns == nil {
 		l.conns = map[*conn]struct{}{}
 	}
 	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	if l.Memory != nil {
+		c.account = l.Memory.open(c.evict)
+	}
 	return c, nil
 }
 
+// Context adds the account of a connection to the context of its requests, as
+// http.Server.ConnContext does.
+func (l *Listener) Context(ctx context.Context, accepted net.Conn) context.Context {
+	if c, ok := accepted.(*conn); ok && c.account != nil {
+		return context.WithValue(ctx, accountKey{}, c.account)
+	}
+	return ctx
+}
+
 // Observe is to be called with each state of a connection, as http.Server.ConnState is.
 func (l *Listener) Observe(accepted net.Conn, state http.ConnState) {
 	c, ok := accepted.(*conn)
@@ -64,19 +116,61 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.endHead()
 	case http.StateIdle:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.idle = true
+		c.beginIdle()
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
+		if c.account != nil {
+			c.account.close()
+		}
+		if state == http.StateHijacked && l.MaxUpgraded > 0 {
+			l.upgrade(c)
+		}
+	}
+}
+
+// upgrade adds a connection that was taken over.
+func (l *Listener) upgrade(c *conn) {
+	c.lastRead.Store(time.Now().UnixNano())
+	l.mu.Lock()
+	if l.upgraded == nil {
+		l.upgraded = map[*conn]struct{}{}
 	}
+	l.upgraded[c] = struct{}{}
+	var silent *conn
+	if len(l.upgraded) > l.MaxUpgraded {
+		for other := range l.upgraded {
+			if silent == nil || other.lastRead.Load() < silent.lastRead.Load() {
+				silent = other
+			}
+		}
+		delete(l.upgraded, silent)
+	}
+	l.mu.Unlock()
+	if silent != nil {
+		if l.Memory != nil {
+			l.Memory.record(TooManyConnections, silent.account)
+		}
+		silent.evict(TooManyConnections)
+	}
+}
+
+// beginDelay reports whether one more connection may be kept open after a refusal.
+func (l *Listener) beginDelay() bool {
+	if l.delayed.Add(1) <= maxDelayed {
+		return true
+	}
+	l.delayed.Add(-1)
+	return false
 }
 
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	delete(l.upgraded, c)
 }
 
 func (l *Listener) countCrossed() {
@@ -106,56 +200,3 @@
 		c.closeIfIdle(now)
 	}
 }
-
-func (c *conn) closeIfIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l := c.listener
-	unused := c.fresh && l.IdleTimeout > 0 && now.Sub(c.accepted) >= l.HeaderTimeout
-	if (c.idle || unused) && !c.closed {
-		c.closed = true
-		_ = c.Conn.Close()
-	}
-}
-
-// Read reads bytes of a request. It returns net.ErrClosed if the connection was closed as
-// idle before they were delivered.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		if n > 0 && !c.crossed {
-			c.crossed = true
-			c.listener.countCrossed()
-		}
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.idle = false
-		if c.fresh && c.listener.IdleTimeout > 0 {
-			_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.HeaderTimeout))
-		}
-		c.fresh = false
-	}
-	return n, err
-}
-
-// SetReadDeadline sets the deadline of reads. Until the first byte arrives, it is that of an
-// idle connection.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if idle := c.listener.IdleTimeout; c.fresh && idle > 0 && !t.IsZero() {
-		t = c.accepted.Add(idle)
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// SetLinger sets the linger option of a TCP connection; it does nothing on others.
-func (c *conn) SetLinger(sec int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		return l.SetLinger(sec)
-	}
-	return nil
-}
--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -38,6 +38,10 @@
 	Preset string `json:"preset" enum:"first-token,recompute"`
 	// MaxRequests bounds the requests in flight.
 	MaxRequests int `json:"max-requests" min:"1"`
+	// MemoryMB is the memory of the machine in MB, and MaxFDs the number of file descriptors
+	// of the process; 0 is without limit.
+	MemoryMB int `json:"memory-mb"`
+	MaxFDs   int `json:"max-fds"`
 	// UnreadyWait is how long the instance still accepts requests after it has turned
 	// unready, until the load balancer has noticed.
 	UnreadyWait time.Duration `json:"unready-wait"`
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -109,6 +109,7 @@
 	announceAgain chan struct{}
 	leaving       atomic.Bool
 	openConns     atomic.Int64
+	memory        callerconns.Memory
 
 	metricsPage  http.Handler
 	closeMetrics io.Closer
@@ -139,6 +140,7 @@
 		Name: cfg.Name, Bounds: &e.bounds, Log: platform.Log, Control: platform.Control,
 		Topics: e.topics, Replicas: e.replicas, Now: now, Logger: part("duty"),
 	}
+	e.memory.Logger, e.memory.OnEnd = part("callers"), newEndCounter(scope)
 	metrics := relay.NewMetrics(scope)
 	e.crashes = relay.NewCrashes(xxhash.Sum64String(cfg.Name))
 	e.crashes.Logger, e.crashes.Metrics, e.crashes.Now = part("crashes"), metrics, now
@@ -195,6 +197,7 @@
 func (e *Edge) Reload(cfg edgeconfig.Settings) {
 	old := e.bounds.Bounds()
 	e.bounds.Set(cfg.Bounds)
+	e.limitMemory(cfg)
 	e.retryBudgets.SetBounds(cfg.Bounds.RetryShare, cfg.Bounds.RetrySlack)
 	_ = e.logger.Log("msg", "Read the settings again.", "bounds-changed", old != cfg.Bounds,
 		"addresses-changed", cfg.Front != e.cfg.Front || cfg.Ready != e.cfg.Ready || cfg.Peers != e.cfg.Peers)
@@ -208,6 +211,7 @@
 	e.gossip.Attach()
 	e.limits.Attach()
 	e.streams.Attach()
+	e.limitMemory(e.cfg)
 	callerServer := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(io.Discard, "", 0),
@@ -218,9 +222,12 @@
 	metricsMux.HandleFunc("GET "+metricsPath, e.handleMetrics)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, e.endpoint.HTTPHandler())
-	internalServers := []*http.Server{{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, {Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}, {Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}}
+	internalServers := []*http.Server{newInternalServer(readyMux), newInternalServer(peerMux), newInternalServer(metricsMux)}
 	errs := make(chan error, 1+len(internalServers))
-	callers := &callerconns.Listener{HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	callers := &callerconns.Listener{
+		HeaderBytes: maxHeaderBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Current: e.callerLimits, Memory: &e.memory,
+	}
+	callerServer.ConnContext = callers.Context
 	callerServer.ConnState = func(conn net.Conn, state http.ConnState) {
 		callers.Observe(conn, state)
 		e.countConns(conn, state)
@@ -233,6 +240,8 @@
 		if server == callerServer {
 			callers.Listener = ln
 			ln = callers
+		} else {
+			ln = e.limitInternal(server, ln)
 		}
 		go func() { errs <- server.Serve(ln) }()
 	}
--- a/entry/edge/metrics.go
+++ b/entry/edge/metrics.go
@@ -10,6 +10,7 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"crocusfold.dev/core/pool"
+	"crocusfold.dev/entry/callerconns"
 )
 
 // metricsInterval is the interval at which counters are reported.
@@ -35,6 +36,7 @@
 	waiting := scope.Gauge("replicas_waiting")
 	blockedParts := scope.Gauge("parts_blocked")
 	sharers := scope.Gauge("retry_sharers")
+	callerConns, callersWaiting := scope.Gauge("caller_connections"), scope.Gauge("callers_waiting")
 	e.updateGauges = func(now time.Time) {
 		if age, ok := e.topics.Proven().Age(now); ok {
 			proofAge.Update(age.Seconds())
@@ -48,6 +50,12 @@
 		e.replicas.WithPool(func(p *pool.Pool) { leaving.Update(float64(p.CountLeaving())) })
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
+		held, conns, waiting := e.memory.Usage()
+		callerConns.Update(float64(conns))
+		callersWaiting.Update(float64(waiting))
+		for cause, bytes := range held {
+			scope.Tagged(map[string]string{"cause": cause}).Gauge("held_bytes").Update(float64(bytes))
+		}
 		sharers.Update(float64(e.retryBudgets.Instances()))
 		for service, left := range e.retryBudgets.Left() {
 			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
@@ -56,6 +64,16 @@
 	return scope
 }
 
+// newEndCounter returns a function that counts closed connections and refused requests of
+// callers by their reason.
+func newEndCounter(scope tally.Scope) func(callerconns.Reason) {
+	counters := map[callerconns.Reason]tally.Counter{}
+	for _, r := range callerconns.Reasons() {
+		counters[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_ended")
+	}
+	return func(r callerconns.Reason) { counters[r].Inc(1) }
+}
+
 // gaugeValue returns 1 for true and 0 for false.
 func gaugeValue(b bool) float64 {
 	if b {
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusfold.dev/core/memorybudget"
 	"crocusfold.dev/core/writeshare"
 )
 
@@ -48,6 +49,8 @@
 	DataCentre string
 	// MilliCPU is the processor time available to the instance, in thousandths of a core.
 	MilliCPU int
+	// Machine has the memory and the descriptors of the instance; 0 is without limit.
+	Machine memorybudget.Limits
 	// The instance listens on Front for callers, on Ready for the load balancer's
 	// readiness checks, and on Peers for other instances.
 	Front, Ready, Peers netip.AddrPort
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -4,17 +4,28 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
+
+	"crocusfold.dev/entry/callerconns"
+)
+
+const (
+	// maxBodyBytes is the maximum size of a request body.
+	maxBodyBytes = 8 << 20
+	// bodyReadTimeout is how long reading a body may take, without the time for which it waits
+	// for memory. The largest one takes 6.7 s at 10 Mbit/s.
+	bodyReadTimeout = 20 * time.Second
+	// memoryRetry is the delay in the Retry-After header of a request that gets no memory.
+	memoryRetry = time.Second
 )
 
-// maxBodyBytes is the maximum size of a request body.
-const maxBodyBytes = 8 << 20
+// writerKey is the key of the http.ResponseWriter in the context of decodeCall.
+type writerKey struct{}
 
 // maxTimeout is the maximum timeout of a request. A larger X-Timeout-Ms is reduced to
 // it.
@@ -47,7 +58,7 @@
 const priorityBatch = "batch"
 
 // decodeCall reads a request with its body. Its errors are of type *callError.
-func decodeCall(_ context.Context, r *http.Request) (any, error) {
+func decodeCall(ctx context.Context, r *http.Request) (any, error) {
 	c := call{
 		id: r.Header.Get("X-Request-Id"), method: r.Method, path: r.URL.Path, query: r.URL.RawQuery,
 		contentType: r.Header.Get("Content-Type"), idempotencyKey: r.Header.Get("Idempotency-Key"),
@@ -61,15 +72,40 @@
 	if err := c.parseHeaders(r.Header); err != nil {
 		return nil, newCallError(c.id, http.StatusBadRequest, "bad-header", err.Error())
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if err := c.readBody(ctx, r); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// readBody reads the body as far as there is memory for it. After an error the connection is
+// closed with the response, and the rest of the body is not read.
+func (c *call) readBody(ctx context.Context, r *http.Request) error {
+	w, ok := ctx.Value(writerKey{}).(http.ResponseWriter)
+	if !ok || r.ContentLength == 0 {
+		return nil
+	}
+	conn := http.NewResponseController(w)
+	deadline := time.Now().Add(bodyReadTimeout)
+	_ = conn.SetReadDeadline(deadline)
+	body, err := callerconns.ReadBody(r, maxBodyBytes, func(waited time.Duration) {
+		deadline = deadline.Add(waited)
+		_ = conn.SetReadDeadline(deadline)
+	})
 	if err != nil {
-		return nil, newCallError(c.id, http.StatusBadRequest, "body-broken", "the request's body did not arrive whole")
+		callerconns.StopReading(w)
 	}
-	if len(body) > maxBodyBytes {
-		return nil, newCallError(c.id, http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("the body may have %d bytes", maxBodyBytes))
+	switch {
+	case errors.Is(err, callerconns.ErrBodyTooLarge):
+		return newCallError(c.id, http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("the body may have %d bytes", maxBodyBytes))
+	case errors.Is(err, callerconns.ErrNoMemory):
+		return newCallError(c.id, http.StatusServiceUnavailable, "memory-full", "the instance has no memory for the request").withRetryAfter(memoryRetry)
+	case err != nil:
+		return newCallError(c.id, http.StatusBadRequest, "body-broken", "the request's body did not arrive whole")
 	}
-	c.body = body
-	return c, nil
+	_ = conn.SetReadDeadline(time.Time{})
+	c.body = body.Bytes()
+	return nil
 }
 
 func (c *call) parseHeaders(h http.Header) error {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -87,7 +87,10 @@
 	var ep endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
 		return serve(ctx, request.(call))
 	}
-	return kithttp.NewServer(ep, decodeCall, encodeResponse, kithttp.ServerErrorEncoder(g.encodeError))
+	server := kithttp.NewServer(ep, decodeCall, encodeResponse, kithttp.ServerErrorEncoder(g.encodeError))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), writerKey{}, w)))
+	})
 }
 
 func encodeResponse(_ context.Context, w http.ResponseWriter, resp any) error {
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	"crocusfold.dev/core/memorybudget"
 	"crocusfold.dev/entry/admission"
 	"crocusfold.dev/entry/cache"
+	"crocusfold.dev/entry/callerconns"
 	"crocusfold.dev/entry/claims"
 	"crocusfold.dev/entry/config"
 	"crocusfold.dev/entry/configsync"
@@ -39,6 +42,18 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	metricsInterval   = time.Second
+	// maxHeaderBytes bounds the header of a caller's request. It is the bound of the front of
+	// crocus-edge before it has a configuration.
+	maxHeaderBytes = 64 << 10
+	// maxPeerHeaderBytes and maxPeerHandshakes bound what the peer port takes from connections
+	// that are not those of peers yet.
+	maxPeerHeaderBytes = 4 << 10
+	maxPeerHandshakes  = 64
+	// goMemoryShare is the share of the machine's memory, in percent, from which on the heap is
+	// collected more often, and peerFrameShare that for incomplete frames of peers, as one in
+	// so many.
+	goMemoryShare  = 60
+	peerFrameShare = 10
 )
 
 // Node is an instance of crocus-entry.
@@ -53,6 +68,7 @@
 	isolation *isolation.Isolation
 	gateway   *gateway.Gateway
 	endpoint  *peerrpc.Endpoint
+	countEnd  func(callerconns.Reason)
 	close     func()
 }
 
@@ -80,6 +96,9 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "crocusfold", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 	}, metricsInterval)
+	n.countEnd = func(r callerconns.Reason) {
+		scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_ended").Inc(1)
+	}
 	n.close = func() {
 		n.endpoint.Close()
 		upstreamClient.CloseIdleConnections()
@@ -132,11 +151,17 @@
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, n.endpoint.HTTPHandler())
-	callerServer := &http.Server{Handler: n.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}
+	callers := &callerconns.Listener{Listener: callerListener, HeaderBytes: maxHeaderBytes, Memory: n.limitMemory()}
+	callerServer := &http.Server{
+		Handler: n.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: callers.Observe, ConnContext: callers.Context,
+	}
+	peers := &callerconns.Listener{Listener: peerListener, HeaderBytes: maxPeerHeaderBytes, Memory: &callerconns.Memory{}}
+	peers.Memory.SetLimits(memorybudget.Limits{Connections: maxPeerHandshakes})
+	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: peers.Observe}
 	errs := make(chan error, 2)
-	go func() { errs <- callerServer.Serve(callerListener) }()
-	go func() { errs <- peerServer.Serve(peerListener) }()
+	go func() { errs <- callerServer.Serve(callers) }()
+	go func() { errs <- peerServer.Serve(peers) }()
 	var wg sync.WaitGroup
 	wg.Go(func() { n.follower.Run(workCtx) })
 	wg.Go(func() { n.admission.Run(workCtx) })
@@ -155,6 +180,17 @@
 	return nil
 }
 
+// limitMemory returns the memory that connections of callers share.
+func (n *Node) limitMemory() *callerconns.Memory {
+	memory := &callerconns.Memory{Logger: log.With(n.logger, "part", "callers"), OnEnd: n.countEnd}
+	memory.SetLimits(memorybudget.Limits{MemoryMB: n.cfg.MemoryMB, MaxFDs: n.cfg.MaxFDs})
+	if mb := n.cfg.MemoryMB; mb > 0 {
+		n.endpoint.Inbound.SetLimit(mb << 20 / peerFrameShare)
+		debug.SetMemoryLimit(int64(mb) << 20 * goMemoryShare / 100)
+	}
+	return memory
+}
+
 // shutDown stops the caller server gracefully. Requests that still run after StopLimit
 // are cut off.
 func (n *Node) shutDown(callerServer *http.Server) {
--- a/entry/relay/fingerprints.go
+++ b/entry/relay/fingerprints.go
@@ -21,7 +21,7 @@
 		for _, p := range c.info.SharedParts() {
 			text += p.ID + "\x00"
 		}
-		c.fp = quarantine.NewFingerprint(append([]byte(text), c.body...))
+		c.fp = quarantine.NewFingerprint(append([][]byte{[]byte(text)}, c.body.Segments...)...)
 	}
 	return c.fp
 }
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -384,15 +382,15 @@
 	})
 	path, query, _ := strings.Cut(c.r.RequestURI, "?")
 	out := &http.Request{
-		Method: c.r.Method, Host: c.r.Host, Header: h, ContentLength: int64(len(c.body)),
+		Method: c.r.Method, Host: c.r.Host, Header: h, ContentLength: int64(c.body.Size),
 		URL:   &url.URL{Scheme: "http", Host: pl.Address.String(), Opaque: path, RawQuery: query},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	out.Body = http.NoBody
-	if len(c.body) > 0 || retriedByTransport(c.r) {
+	if c.body.Size > 0 || retriedByTransport(c.r) {
 		// net/http sends a request again by itself if its body is http.NoBody or has
 		// GetBody. This body prevents that, since the request could run twice.
-		out.Body = io.NopCloser(bytes.NewReader(c.body))
+		out.Body = c.body.Reader()
 	}
 	return out.WithContext(ctx)
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -26,6 +26,7 @@
 	"crocusfold.dev/core/route"
 	"crocusfold.dev/core/shutdown"
 	"crocusfold.dev/entry/adapter"
+	"crocusfold.dev/entry/callerconns"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
@@ -44,10 +45,6 @@
 	// defaultTimeout applies to a request if the caller states no timeout. The route
 	// may set a shorter one.
 	defaultTimeout = 30 * time.Second
-	// bodyReadTimeout is how long reading the body of a request may take.
-	bodyReadTimeout = 10 * time.Second
-	// defaultBodyBytes is the maximum size of a body if the configuration sets none.
-	defaultBodyBytes = 4 << 20
 )
 
 // Relay is the HTTP handler for callers. The exported fields must be set before it is
@@ -156,7 +153,7 @@
 	route   *route.Route
 	account route.Account
 	info    adapter.RequestInfo
-	body    []byte
+	body    callerconns.Body
 	// fp and partFPs are the zero values until they are needed.
 	fp      quarantine.Fingerprint
 	partFPs []quarantine.Fingerprint
@@ -241,7 +238,10 @@
 		defer cancel()
 		defer rl.start(c, cancel)()
 		c.ctx = ctx
-		if ref = c.findOrigin(); ref == nil {
+		if ref = c.reserve(); ref == nil {
+			ref = c.findOrigin()
+		}
+		if ref == nil {
 			ref = c.forward()
 		}
 	}
@@ -342,48 +342,6 @@
 	return nil
 }
 
-// readBody reads the body of the request into c.body.
-func (c *call) readBody(table *route.Table) *refusal {
-	if c.r.ContentLength == 0 || c.r.Body == nil {
-		return nil
-	}
-	limit := table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if c.r.ContentLength > int64(limit) {
-		c.w.Header().Set("Connection", "close")
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
-	}
-	// The deadline bounds the time for which a stalled caller occupies the instance.
-	// It is cleared after the body, since it would end the request too. After an error
-	// it stays, which keeps net/http from reading the rest of the body.
-	conn := http.NewResponseController(c.w)
-	_ = conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := readAll(io.LimitReader(c.r.Body, int64(limit)+1), c.r.ContentLength)
-	if err != nil {
-		// The caller's connection is broken, so no response is possible.
-		return &refusal{code: "body-broken", abort: true}
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	if len(body) > limit {
-		c.w.Header().Set("Connection", "close")
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
-	}
-	c.body = body
-	return nil
-}
-
-// readAll reads a body of a known length, or up to EOF if length is not positive.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // Codes of refusals of requests that crashed replicas, or of which a part of the prompt
 // did.
 const (
