Deliver responses that are ready also when their callers read late

Cause: a request ended at its deadline although its response was ready and only its caller had not read it yet.

Ruled out: no deadline once a response has begun (a replica that stalls would hold its caller); a deadline from the last write (the time that the replica takes has to count).

Change: the time for which writes to the caller block does not count, up to 30 s more, since the replica is occupied meanwhile.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -234,10 +234,10 @@
 	c.closeIfStopping()
 	ref := c.admit()
 	if ref == nil {
-		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(rl.Now()))
-		defer cancel()
-		defer rl.start(c, cancel)()
-		c.ctx = ctx
+		deadline := newCallerDeadline(r.Context(), c.deadline.Sub(rl.Now()))
+		defer deadline.stop()
+		defer rl.start(c, deadline.cancel)()
+		c.ctx = deadline
 		if ref = c.reserve(); ref == nil {
 			ref = c.findOrigin()
 		}
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -69,7 +69,6 @@
 	c.w.WriteHeader(resp.StatusCode)
 	buf := copyBuffers.Get().(*[8 << 10]byte)
 	defer copyBuffers.Put(buf)
-	flusher := http.NewResponseController(c.w)
 	c.answered = false
 	var firstEvent time.Time
 	for {
@@ -81,11 +80,7 @@
 				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
 				firstEvent = c.observeEvents(firstEvent)
 			}
-			_, werr := c.w.Write(buf[:n])
-			if werr == nil && flush {
-				werr = flusher.Flush()
-			}
-			if werr != nil {
+			if werr := c.write(buf[:n], flush); werr != nil {
 				c.abortResponse(pl, "caller-left", false, sentAt)
 				return false
 			}
