--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -11,7 +11,7 @@
 // boundAnswer sets when the response is due and its expected length, by which a replica is
 // chosen where requests compete for replicas.
 func (c *call) boundAnswer(req *replicas.PlacementRequest) {
-	req.Deadline, req.Bytes = c.deadline, len(c.body)
+	req.Deadline, req.Bytes = c.deadline, c.body.Size
 	if c.route.TargetLatency > 0 {
 		req.Target = c.began.Add(c.route.TargetLatency)
 	}
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -221,7 +221,7 @@
 	}
 	it := waitqueue.Item{
 		ID: w.lastID, Service: c.service.Name, Account: c.account.Name, Kind: c.route.Name, Priority: c.priority(),
-		Size: 1, Bytes: len(c.body), Deadline: c.deadline, Returned: c.returned || c.policy.Attempts() > 0,
+		Size: 1, Bytes: c.body.Size, Deadline: c.deadline, Returned: c.returned || c.policy.Attempts() > 0,
 	}
 	if c.service.Engine != nil && c.info.Model != "" {
 		it.Size = float64(max(1, c.info.PromptTokens+c.info.EstimateOutput()))
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -69,7 +69,6 @@
 	c.w.WriteHeader(resp.StatusCode)
 	buf := copyBuffers.Get().(*[8 << 10]byte)
 	defer copyBuffers.Put(buf)
-	flusher := http.NewResponseController(c.w)
 	c.answered = false
 	var firstEvent time.Time
 	for {
@@ -82,10 +81,7 @@
 				firstEvent = c.observeEvents(firstEvent)
 				c.observeTimes(pl)
 			}
-			_, werr := c.w.Write(buf[:n])
-			if werr == nil && flush {
-				werr = flusher.Flush()
-			}
+			werr := c.write(buf[:n], flush)
 			c.times.written(c.relay.Now)
 			if werr != nil {
 				c.abortResponse(pl, "caller-left", false, sentAt)
