Call the state of a change on all instances its propagation

Cause: rollouts of a software version are about to be built, and core/rollout decides something else: whether a change of the configuration is in force on all instances. Change: the package is core/propagation and its type Propagation, with the gateway and crocusctl. The field of the operators' response stays "rollout", since programs of both versions read it.

--- a/core/rollout/rollout.go
+++ b/core/propagation/propagation.go
@@ -1,7 +1,7 @@
-// Package rollout decides whether a change is in force on all instances, from the
+// Package propagation decides whether a change is in force on all instances, from the
 // instances' reports. The list of instances lags, so an unreachable instance must
 // neither block the decision for ever nor count as having the change.
-package rollout
+package propagation
 
 import (
 	"time"
@@ -17,15 +17,15 @@
 type Instance struct {
 	Name      string
 	Reachable bool
-	// Leaving is true while the instance finishes its running work; the rollout
+	// Leaving is true while the instance finishes its running work; the decision
 	// does not wait for it.
 	Leaving bool
 	// Next is the offset of the first record that it has not read.
 	Next uint64
 }
 
-// Rollout is the state of one accepted change.
-type Rollout struct {
+// Propagation is the state of one accepted change.
+type Propagation struct {
 	// InForce is true if each instance that takes new work has the change.
 	InForce bool `json:"in-force"`
 	// Have lists the instances that have the change.
@@ -42,8 +42,8 @@
 
 // New returns the state at now of the change at an offset of the configuration
 // stream. The time accepted is when the change was read back.
-func New(now, accepted time.Time, offset uint64, all []Instance) Rollout {
-	r := Rollout{Have: []string{}, Missing: []string{}, Stopped: []string{}, Unknown: []string{}}
+func New(now, accepted time.Time, offset uint64, all []Instance) Propagation {
+	r := Propagation{Have: []string{}, Missing: []string{}, Stopped: []string{}, Unknown: []string{}}
 	viewsExpired := now.Sub(accepted) >= freshness.Limit+stopMargin
 	for _, inst := range all {
 		switch {
--- a/entry/gateway/operator.go
+++ b/entry/gateway/operator.go
@@ -13,17 +13,17 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"crocusfold.dev/core/change"
-	"crocusfold.dev/core/rollout"
+	"crocusfold.dev/core/propagation"
 	"crocusfold.dev/entry/configsync"
 	"crocusfold.dev/entry/message"
 )
 
 // Limits of a confirmation.
 const (
-	// rolloutTimeout is how long a confirmation waits for an accepted change to be in
+	// propagationTimeout is how long a confirmation waits for an accepted change to be in
 	// force on all instances.
-	rolloutTimeout      = 6 * time.Second
-	rolloutPollInterval = 100 * time.Millisecond
+	propagationTimeout      = 6 * time.Second
+	propagationPollInterval = 100 * time.Millisecond
 	// maxChangeBytes is the maximum size of a change.
 	maxChangeBytes = 4 << 20
 )
@@ -31,8 +31,8 @@
 // ConfirmResponse is the response to POST /operator/changes.
 type ConfirmResponse struct {
 	Outcome change.Outcome `json:"outcome"`
-	// Rollout is the last known state of an accepted change.
-	Rollout rollout.Rollout `json:"rollout"`
+	// Propagation is the last known state of an accepted change.
+	Propagation propagation.Propagation `json:"rollout"`
 	// Duration is the time from the request to the response.
 	Duration time.Duration `json:"took"`
 }
@@ -85,7 +85,7 @@
 
 // operatorConfirm appends a change to the configuration stream. If the change is
 // accepted, it waits until the change is in force on all instances, at most
-// rolloutTimeout.
+// propagationTimeout.
 func (g *Gateway) operatorConfirm(ctx context.Context, r *http.Request) (any, error) {
 	start := time.Now()
 	var c change.Change
@@ -103,30 +103,30 @@
 	}
 	resp := ConfirmResponse{Outcome: out}
 	if out.Verdict == change.Accepted {
-		resp.Rollout = g.awaitRollout(ctx, out.Offset)
+		resp.Propagation = g.awaitPropagation(ctx, out.Offset)
 	}
 	resp.Duration = time.Since(start)
 	return resp, nil
 }
 
-// awaitRollout polls the instances until the change at the offset is in force, the
-// rolloutTimeout has passed, or ctx ends. It returns the last state.
-func (g *Gateway) awaitRollout(ctx context.Context, offset uint64) rollout.Rollout {
+// awaitPropagation polls the instances until the change at the offset is in force, the
+// propagationTimeout has passed, or ctx ends. It returns the last state.
+func (g *Gateway) awaitPropagation(ctx context.Context, offset uint64) propagation.Propagation {
 	accepted := time.Now()
 	for {
 		now := time.Now()
-		r := rollout.New(now, accepted, offset, rolloutInstances(g.Follower.Statuses(ctx)))
-		if r.InForce || now.Sub(accepted) > rolloutTimeout || ctx.Err() != nil {
+		r := propagation.New(now, accepted, offset, propagationInstances(g.Follower.Statuses(ctx)))
+		if r.InForce || now.Sub(accepted) > propagationTimeout || ctx.Err() != nil {
 			return r
 		}
-		time.Sleep(rolloutPollInterval)
+		time.Sleep(propagationPollInterval)
 	}
 }
 
-func rolloutInstances(all []message.Status) []rollout.Instance {
-	out := make([]rollout.Instance, 0, len(all))
+func propagationInstances(all []message.Status) []propagation.Instance {
+	out := make([]propagation.Instance, 0, len(all))
 	for _, st := range all {
-		out = append(out, rollout.Instance{Name: st.Name, Reachable: st.View != "unreachable", Leaving: st.Leaving, Next: st.Offset})
+		out = append(out, propagation.Instance{Name: st.Name, Reachable: st.View != "unreachable", Leaving: st.Leaving, Next: st.Offset})
 	}
 	return out
 }
--- a/operator/command/confirm.go
+++ b/operator/command/confirm.go
@@ -64,7 +64,7 @@
 		return fmt.Errorf("refused: %s", out.Detail)
 	}
 	t.printf("accepted at offset %d\n", out.Offset)
-	r := done.Rollout
+	r := done.Propagation
 	if !r.InForce {
 		return errors.New("not yet in force at " + strings.Join(append(r.Missing, r.Unknown...), ", ") + "; see crocusctl status")
 	}
