Decode rollout orders and their status, and append with a fencing token

Cause: rollouts are ordered and reported with records of the platform, and only the newest leader may write the status. Ruled out: a second record for the position of the order and the deadline. The status would then not change at once.

--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -20,6 +20,12 @@
 // ErrOffsetExpired means that the log no longer retains the requested records.
 var ErrOffsetExpired = errors.New("the log no longer retains the requested records")
 
+// Errors of PutFenced.
+var (
+	ErrFenced   = errors.New("a producer with a higher epoch has written")
+	ErrSequence = errors.New("the sequence number is not the next one of the epoch")
+)
+
 // Topic is one of the platform's topics. Only the newest record of each key is valid.
 type Topic int
 
@@ -72,6 +78,10 @@
 	// Put appends a record to the topic Instances, where it replaces the earlier one of
 	// its key.
 	Put(ctx context.Context, key string, value []byte) error
+	// PutFenced does the same with a fencing token. It returns ErrFenced if the log has a
+	// record of the producer with a higher epoch, and ErrSequence if the sequence number is
+	// not the one that the log expects next in the epoch; nothing is written then.
+	PutFenced(ctx context.Context, key string, value []byte, token FencingToken) error
 	// Join joins the group that elects the leader, or renews the membership. The
 	// membership expires after ttl. The generation is that of the last grant.
 	Join(ctx context.Context, member string, ttl time.Duration, generation uint64) (lease.Grant, error)
@@ -100,6 +110,16 @@
 	ClosedDataCentres map[string]bool
 	// Versions maps each model to the weight version that its replicas should load.
 	Versions map[string]int
+	// Rollouts has the rollout orders, by service.
+	Rollouts map[string]RolloutOrder
+	// Ignored has the records that were ignored since they are invalid.
+	Ignored []IgnoredRecord
+}
+
+// IgnoredRecord is an invalid record, and what is wrong with it.
+type IgnoredRecord struct {
+	Record topicview.Record
+	Err    error
 }
 
 // Decoder decodes the records of the topics.
@@ -113,6 +133,11 @@
 	Intent(records []topicview.Record) (Intent, error)
 	// Replica decodes a record of the topic Replicas.
 	Replica(now time.Time, rec topicview.Record) (pool.Replica, error)
+	// RolloutStatus decodes a record of the topic Instances that has the status of a rollout;
+	// ok is false if the record has none. The status of a deleted record has no state.
+	RolloutStatus(rec topicview.Record) (status RolloutStatus, ok bool, err error)
+	// EncodeRolloutStatus returns the record of a status.
+	EncodeRolloutStatus(s RolloutStatus) (key string, value []byte, err error)
 }
 
 // PromptPart is one part of a prompt, by the id that the request gives it.
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -51,6 +51,13 @@
 	return err
 }
 
+// PutFenced forwards the call and counts its result.
+func (l countingLog) PutFenced(ctx context.Context, key string, value []byte, token adapter.FencingToken) error {
+	err := l.Log.PutFenced(ctx, key, value, token)
+	l.count("put", adapter.Instances, err)
+	return err
+}
+
 // Join forwards the call and counts its result.
 func (l countingLog) Join(ctx context.Context, member string, ttl time.Duration, generation uint64) (lease.Grant, error) {
 	g, err := l.Log.Join(ctx, member, ttl, generation)
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -37,6 +37,13 @@
 	// Heartbeat is how often a replica writes its entry, and so the longest time after its
 	// start without one.
 	Heartbeat time.Duration
+	// All instances together may send a bad software version ExposeShare of the requests of
+	// its service, plus ExposureSlack, while a rollout runs. Rollouts are handled only if
+	// ExposeShare is above 0.
+	ExposeShare, ExposureSlack float64
+	// Rollback is how long requests may still be sent to a bad version after its 50th bad
+	// response, and Stretch the longest time by which an unstable log extends that.
+	Rollback, Stretch time.Duration
 	// MinMemberTTL is the shortest time to live that the platform's log allows for the
 	// membership in a group.
 	MinMemberTTL time.Duration
--- a/entry/relay/proof_test.go
+++ b/entry/relay/proof_test.go
@@ -78,6 +78,14 @@
 	return pool.Replica{}, errors.New("no replicas")
 }
 
+func (d slowDecoder) RolloutStatus(topicview.Record) (adapter.RolloutStatus, bool, error) {
+	return adapter.RolloutStatus{}, false, nil
+}
+
+func (d slowDecoder) EncodeRolloutStatus(adapter.RolloutStatus) (string, []byte, error) {
+	return "", nil, errors.New("no rollouts")
+}
+
 // dialect reads the API key only.
 type dialect struct{ adapter.Dialect }
 
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -135,6 +135,8 @@
 	operationsReadFailed bool
 	startedAt            time.Time
 	restore              restore
+	// ignored has the positions of the records that were last logged as ignored, by key.
+	ignored map[string]topicview.Position
 	// instancesRequested is set by RequestInstances.
 	instancesRequested bool
 	// confirming is the shared read of ConfirmReplicas.
@@ -386,11 +388,32 @@
 		_ = t.Logger.Log("msg", "Ignored an older configuration.", "version", in.Table.Version, "in-force", old.Table.Version)
 		in.Table = old.Table
 	}
+	t.logIgnored(in.Ignored, view.Next().Era)
+	for service, order := range in.Rollouts {
+		// Only held records state their era; the others are of the era of the view.
+		if order.Position.Era == 0 {
+			order.Position.Era = view.Next().Era
+			in.Rollouts[service] = order
+		}
+	}
 	t.intent = &in
 	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "era", view.Next().Era, "next", view.Next().Offset, "closed", len(in.ClosedDataCentres))
 	t.OnIntent(&in)
 }
 
+// logIgnored logs the ignored records that it has not logged yet.
+func (t *Topics) logIgnored(ignored []adapter.IgnoredRecord, era uint64) {
+	logged := map[string]topicview.Position{}
+	for _, i := range ignored {
+		at := topicview.Position{Era: max(i.Record.Era, era), Offset: i.Record.Offset}
+		if t.ignored[i.Record.Key] != at {
+			_ = t.Logger.Log("msg", "Ignored a record of the operators.", "key", i.Record.Key, "era", at.Era, "offset", at.Offset, "err", i.Err)
+		}
+		logged[i.Record.Key] = at
+	}
+	t.ignored = logged
+}
+
 // RestoredSince reports whether the log has come back from a copy at a time or later, as far
 // as known.
 func (t *Topics) RestoredSince(at time.Time) bool {
