Run rollouts of a software version on the path of requests

Cause: a service moves to a new software version only with a bound on what a bad one gets, over all instances and through restarts. Ruled out: learning the recorded status from the log at each instance. Instances that are not readers don't follow that topic, so peers pass it on, and only a process that no peer tells reads it once. Change: pool.Request.Versions restricts a request by software version. entry/rollouts holds the canary of each service, decides on each attempt, counts it before the replica is chosen and takes it back if nothing was sent, records outcomes, exchanges states and writes the status as leader with a fencing token. The versions are checked once more right before a request is sent.

--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -415,6 +415,17 @@
 // AliveCount returns the number of other members with status Alive.
 func (pg *Peering) AliveCount() int { return pg.members.AliveCount() }
 
+// AliveNames returns the names of those members.
+func (pg *Peering) AliveNames() []string {
+	var names []string
+	for _, e := range pg.members.Entries() {
+		if e.Status == membership.Alive {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // AliveDigest returns the sum of the digests of those members.
 func (pg *Peering) AliveDigest() uint64 { return pg.members.AliveDigest() }
 
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -37,6 +37,8 @@
 	SampleSeed uint64
 	// Software is the software version that the replica must have; empty if any will do.
 	Software string
+	// Versions are the software versions that the replica may have.
+	Versions Versions
 	// ClosedDataCentres holds the data centres that get no work, and Tried the
 	// replicas that the request was already sent to.
 	ClosedDataCentres, Tried map[string]bool
@@ -172,11 +174,12 @@
 	reason := NoReplica
 	var wait time.Duration
 	eligible, avoided := p.eligible[:0], p.avoided[:0]
+	highest, restricted := p.highestOfFirst(req)
 	for _, r := range p.replicas {
 		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || req.Tried[r.ID] {
 			continue
 		}
-		if req.Software != "" && r.Software != req.Software {
+		if req.Software != "" && r.Software != req.Software || !req.Versions.Allow(r.Software) || restricted && r.hash > highest {
 			continue
 		}
 		version := 0
--- /dev/null
+++ b/core/pool/versions.go
@@ -0,0 +1,52 @@
+package pool
+
+import "slices"
+
+// Versions restricts a request to replicas by their software version. The zero value allows
+// all.
+type Versions struct {
+	// Only is the one version that is allowed. If it is empty, all are but those in Except.
+	Only   string
+	Except []string
+	// First is the number of replicas that may be chosen, the first ones of an order that all
+	// instances have in common; 0 allows all.
+	First int
+}
+
+// Allow reports whether a replica may have a software version.
+func (v Versions) Allow(software string) bool {
+	if v.Only != "" {
+		return software == v.Only
+	}
+	return !slices.Contains(v.Except, software)
+}
+
+// Restrict reports whether some versions are not allowed.
+func (v Versions) Restrict() bool { return v.Only != "" || len(v.Except) > 0 }
+
+// highestOfFirst returns the highest hash of the first replicas that a request may use; ok is
+// false if it may use all. Replicas that leave or are in closed data centres don't count,
+// but those that are full or failing do, so that the request does not spread to others.
+func (p *Pool) highestOfFirst(req Request) (highest uint64, ok bool) {
+	if req.Versions.First <= 0 {
+		return 0, false
+	}
+	var hashes []uint64
+	for _, r := range p.replicas {
+		if r.Service == req.Service && !r.Draining && !req.ClosedDataCentres[r.DataCentre] && req.Versions.Allow(r.Software) {
+			hashes = append(hashes, r.hash)
+		}
+	}
+	if len(hashes) <= req.Versions.First {
+		return 0, false
+	}
+	slices.Sort(hashes)
+	return hashes[req.Versions.First-1], true
+}
+
+// ForEach calls do with each replica, in no particular order.
+func (p *Pool) ForEach(do func(r Replica)) {
+	for _, r := range p.replicas {
+		do(r.Replica)
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -169,6 +169,8 @@
 	// byHost maps each host in lower case and each prefix to a route.
 	byHost   map[string]map[string]*Route
 	accounts map[string]Account
+	// longestTimeouts is by service.
+	longestTimeouts map[string]time.Duration
 }
 
 // NewTable indexes a configuration. The map accounts is keyed by API key. The table
@@ -177,6 +179,7 @@
 	t := &Table{
 		Version: version, Limits: limits, Services: map[string]Service{},
 		HasAccounts: hasAccounts, ResumableServices: map[string]bool{}, byHost: map[string]map[string]*Route{}, accounts: accounts,
+		longestTimeouts: map[string]time.Duration{},
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -192,6 +195,7 @@
 		}
 	}
 	t.indexResumable(routes)
+	t.indexTimeouts(routes)
 	return t
 }
 
@@ -212,6 +216,25 @@
 	}
 }
 
+// LongestTimeout returns the longest timeout of the routes that may lead to a service; 0 if
+// one of them has none, or if there is none.
+func (t *Table) LongestTimeout(service string) time.Duration { return t.longestTimeouts[service] }
+
+func (t *Table) indexTimeouts(routes []Route) {
+	unbounded := map[string]bool{}
+	for _, r := range routes {
+		for _, s := range r.Services {
+			unbounded[s.Service] = unbounded[s.Service] || r.Timeout == 0
+			t.longestTimeouts[s.Service] = max(t.longestTimeouts[s.Service], r.Timeout)
+		}
+	}
+	for service, is := range unbounded {
+		if is {
+			t.longestTimeouts[service] = 0
+		}
+	}
+}
+
 // Match returns the route of the host with the longest prefix of the path. A port in
 // host is ignored. Prefixes end with a slash, so only the path and its prefixes up to
 // each slash are looked up, and the time does not grow with the number of routes.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -36,6 +36,7 @@
 	"crocusfold.dev/entry/relay"
 	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
+	"crocusfold.dev/entry/rollouts"
 	"crocusfold.dev/entry/streams"
 	"crocusfold.dev/entry/topics"
 	"crocusfold.dev/shell/clock"
@@ -105,6 +106,7 @@
 	retryBudgets *retry.Budgets
 	streams      *streams.Streams
 	limits       *replicalimits.ReplicaLimits
+	rollouts     *rollouts.Rollouts
 	// announceAgain is signalled when the instance's record may be lost.
 	announceAgain chan struct{}
 	leaving       atomic.Bool
@@ -133,12 +135,19 @@
 	e.topics = &topics.Topics{
 		Log: platform.Log, Decoder: platform.Decoder, Now: now, Logger: part("topics"), Bounds: &e.bounds,
 		OnReplicas: e.replicas.ApplyRecords,
-		OnIntent:   e.replicas.Configure,
 	}
 	e.leader = &leader.Leader{
 		Name: cfg.Name, Bounds: &e.bounds, Log: platform.Log, Control: platform.Control,
 		Topics: e.topics, Replicas: e.replicas, Now: now, Logger: part("duty"),
 	}
+	e.rollouts = &rollouts.Rollouts{
+		Name: cfg.Name, Bounds: &e.bounds, Topics: e.topics, Replicas: e.replicas, Log: platform.Log, Decoder: platform.Decoder,
+		Now: now, Logger: part("rollouts"), Token: e.leader.Token,
+	}
+	e.topics.OnIntent = func(in *adapter.Intent) {
+		e.replicas.Configure(in)
+		e.rollouts.Configure(in)
+	}
 	metrics := relay.NewMetrics(scope)
 	e.crashes = relay.NewCrashes(xxhash.Sum64String(cfg.Name))
 	e.crashes.Logger, e.crashes.Metrics, e.crashes.Now = part("crashes"), metrics, now
@@ -151,8 +160,9 @@
 			Revision: uint64(time.Now().UnixMilli()),
 		},
 		Seeds: cfg.Seeds, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas,
-		Now: now, Logger: part("peers"), Leader: e.leader, Crashes: e.crashes,
+		Now: now, Logger: part("peers"), Leader: e.leader, Crashes: e.crashes, Rollouts: e.rollouts,
 	}
+	e.rollouts.NotifyPeers, e.rollouts.Reachable = e.gossip.NotifyPeers, e.gossip.AliveNames
 	e.topics.OnInstances, e.topics.IsReader = e.applyInstanceRecords, e.gossip.ReadsTopics
 	e.topics.Isolated, e.topics.OnAdvance, e.crashes.RequestRecords = e.gossip.Isolated, e.gossip.NotifyPeers, e.topics.RequestInstances
 	e.streams = &streams.Streams{
@@ -181,11 +191,12 @@
 		e.limits.SetGrantors(now(), granting)
 		e.streams.SetOwners(granting, g.Size())
 		e.retryBudgets.SetInstances(g.Size())
+		e.rollouts.SetInstances(g.Size())
 	}
 	e.relay = &relay.Relay{
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas, Control: platform.Control,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
-		Limits: e.limits, Streams: e.streams, NotifyPeers: e.gossip.NotifyPeers,
+		Limits: e.limits, Streams: e.streams, Rollouts: e.rollouts, NotifyPeers: e.gossip.NotifyPeers,
 	}
 	return e
 }
@@ -250,6 +261,7 @@
 	wg.Go(func() { e.announce(workCtx) })
 	wg.Go(func() { e.crashes.Run(workCtx) })
 	wg.Go(func() { e.streams.Run(workCtx) })
+	wg.Go(func() { e.rollouts.Run(workCtx) })
 	_ = e.logger.Log("msg", "The instance serves.", "front", e.cfg.Front, "data-centre", e.cfg.DataCentre)
 	select {
 	case err := <-errs:
@@ -283,6 +295,7 @@
 	}
 	e.crashes.WriteAgain()
 	e.streams.WriteAgain()
+	e.rollouts.WriteAgain()
 }
 
 // announce writes this instance's record to the topic of instances, now and whenever it may
@@ -318,10 +331,10 @@
 }
 
 // applyInstanceRecords applies changes of the topic of instances, which holds the
-// records of the instances and records of replica crashes.
+// records of the instances, records of replica crashes and the status of rollouts.
 func (e *Edge) applyInstanceRecords(changed []topicview.Record) {
 	var members, crashes []topicview.Record
-	for _, rec := range changed {
+	for _, rec := range e.rollouts.ApplyRecords(changed) {
 		if strings.HasPrefix(rec.Key, relay.CrashKeyPrefix) {
 			crashes = append(crashes, rec)
 		} else {
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -101,6 +101,7 @@
 	}
 	urgent = g.Replicas.MergeLimits(now, m.Name, delay, m.Limits) || urgent || changed
 	urgent = g.Replicas.MergeLeaving(now, m.Name, delay, m.Leaving) || urgent
+	urgent = g.Rollouts.MergeGossip(now, m, delay) || urgent
 	if g.Crashes.MergeGossip(now, m) || urgent {
 		g.NotifyPeers()
 	}
@@ -178,6 +179,7 @@
 	m.ViewStates, m.ViewEras = g.Topics.ViewStates(now)
 	g.Crashes.FillGossip(now, &m, since)
 	g.Streams.FillGossip(now, &m)
+	g.Rollouts.FillGossip(now, &m, since)
 	g.mu.Lock()
 	names, oldestFetched := map[string]bool{}, [][]message.ModelVersion{}
 	for _, aggregated := range g.peering.AggregatedFor(to, header.Relation) {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -57,6 +57,8 @@
 	Crashes Crashes
 	// Streams merges and provides the software versions that served.
 	Streams Streams
+	// Rollouts merges and provides the rollouts of software versions.
+	Rollouts Rollouts
 
 	mu      sync.Mutex
 	peering peering.Peering
@@ -110,6 +112,15 @@
 	FillGossip(now time.Time, m *message.Gossip)
 }
 
+// Rollouts is the state of the rollouts of software versions.
+type Rollouts interface {
+	// MergeGossip merges the rollouts in a message, which took transit longer than the fastest
+	// one of its sender. It reports whether a change must be sent on at once.
+	MergeGossip(now time.Time, m message.Gossip, transit time.Duration) (urgent bool)
+	// FillGossip adds the rollouts to a message, with what changed at or after the time since.
+	FillGossip(now time.Time, m *message.Gossip, since time.Time)
+}
+
 // peer is what a peer last reported, apart from the state in peering.
 type peer struct {
 	// oldestFetched is the OldestFetched of its last message.
@@ -300,6 +311,13 @@
 	return g.peering.Rank(now)
 }
 
+// AliveNames returns the names of the other members that are believed to be alive.
+func (g *Gossip) AliveNames() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peering.AliveNames()
+}
+
 // OverlayState returns this instance's place in the overlay and the number of other
 // members that are believed to be alive, for the metrics.
 func (g *Gossip) OverlayState() (place peering.Place, alive int) {
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -183,6 +183,13 @@
 	return l.lease.Held(now)
 }
 
+// Token returns the fencing token if this instance may act as the leader now.
+func (l *Leader) Token(now time.Time) (token uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.Token(now)
+}
+
 // RecordPeerLeader records that a peer was the leader at a given time, and the ids of
 // the replicas that it had commanded to load weights.
 func (l *Leader) RecordPeerLeader(at time.Time, loading []string) {
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crocusfold.dev/core/canary"
 	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/quarantine"
 )
@@ -55,6 +56,24 @@
 	// Leaving has the replicas that stated that they leave, as far as the receiver has not
 	// acknowledged them.
 	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
+	// Rollouts has the rollouts of software versions that the sender knows, with the evidence
+	// of all instances that it has heard of.
+	Rollouts []canary.State `cbor:"48,keyasint,omitempty"`
+	// RolloutStatuses has the newest recorded status of rollouts. RolloutsKnown is true if it
+	// is complete.
+	RolloutStatuses []RolloutStatus `cbor:"49,keyasint,omitempty"`
+	RolloutsKnown   bool            `cbor:"50,keyasint,omitempty"`
+}
+
+// RolloutStatus is the recorded status of a rollout; see canary.Status. Era and Offset are
+// its position, and DeadlineMillis is the Unix time of its deadline, 0 if it is not known.
+type RolloutStatus struct {
+	_                      struct{} `cbor:",toarray"`
+	Service, State, Target string
+	Era, Offset            uint64
+	Base                   string
+	Withdrawn              []string
+	DeadlineMillis         int64
 }
 
 // LeavingReplica is an incarnation of a replica that leaves. Age is how long the sender has
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/attempt"
+	"crocusfold.dev/core/canary"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
 	"crocusfold.dev/entry/adapter"
@@ -54,6 +55,8 @@
 	pool.Failing:   600 * time.Millisecond,
 	pool.Full:      400 * time.Millisecond,
 	pool.Limited:   400 * time.Millisecond,
+
+	rolloutsUnknown: 300 * time.Millisecond,
 }
 
 // Failures of one attempt.
@@ -93,10 +96,13 @@
 		}
 		if ref := c.checkBreaker(); ref != nil {
 			c.relay.Replicas.End(pl)
+			c.relay.Rollouts.Unsent(c.relay.Now(), c.choice)
 			return ref
 		}
 		c.summary.attempts++
+		c.relay.Rollouts.Began(c.choice, pl.Software)
 		done, runState, err := c.attempt(pl)
+		c.relay.Rollouts.Ended(c.choice, pl.Software)
 		c.relay.Replicas.End(pl)
 		if done {
 			return nil
@@ -189,9 +195,10 @@
 	req := c.placementRequest()
 	for asked := 0; ; {
 		now := c.relay.Now()
-		pl, ref := c.relay.Replicas.Place(now, req)
+		pl, ref := c.placeAllowed(now, req)
 		if pl != nil && pl.Limited && !c.acquireGrant(pl, req.Priority) {
 			c.relay.Replicas.End(pl)
+			c.relay.Rollouts.Unsent(now, c.choice)
 			if asked++; asked%maxGrantRequests != 0 && c.ctx.Err() == nil {
 				continue
 			}
@@ -209,6 +216,9 @@
 			c.summary.placementTime = now.Sub(c.began)
 			return pl, nil
 		}
+		if reason == versionUnusable {
+			return nil, c.versionRefusal()
+		}
 		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica {
 			if c.policy.Runs() > 0 {
 				return nil, c.responseLost()
@@ -276,7 +286,7 @@
 	rs := c.relay.Replicas
 	var ungranted atomic.Bool
 	att := &attempt.Attempt{Guard: func(time.Time) error {
-		if !rs.MaySend(c.relay.Now(), pl) {
+		if !rs.MaySend(c.relay.Now(), pl) || !c.relay.Rollouts.MaySend(c.choice) {
 			ungranted.Store(true)
 			return errNotGranted
 		}
@@ -293,10 +303,17 @@
 	if err != nil {
 		// A later write would contradict the run state that is reported from here on.
 		att.Revoke()
+		if att.RunState() == attempt.NotRun {
+			// Nothing was written, so no replica got the request.
+			c.relay.Rollouts.Unsent(now, c.choice)
+		}
 		if ungranted.Load() {
 			return false, att.RunState(), errNotGranted
 		}
 		mayHaveRun := att.RunState() != attempt.NotRun
+		if mayHaveRun {
+			c.recordLost(now, pl, sentAt, time.Time{})
+		}
 		switch {
 		case c.ctx.Err() != nil && mayHaveRun:
 			c.relay.Crashes.recordPending(now, c.run(pl, sentAt))
@@ -317,6 +334,9 @@
 	if err == nil && respInfo.Succeeded {
 		err = c.checkSoftware(pl)
 	}
+	if err != nil && !errors.Is(err, errRefused) {
+		c.recordOutcome(now, pl, canary.Outcome{Failed: true, FirstEvent: now.Sub(sentAt)})
+	}
 	if err != nil {
 		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "handed-on", c.summary.timeLeft.Round(time.Millisecond), "err", err)
 		c.relay.Metrics.countFailedAttempt(pl.Service, failureName(err))
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,6 +29,7 @@
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/replicalimits"
 	"crocusfold.dev/entry/replicas"
+	"crocusfold.dev/entry/rollouts"
 	"crocusfold.dev/entry/streams"
 	"crocusfold.dev/entry/topics"
 )
@@ -62,10 +63,12 @@
 	Budgets *retry.Budgets
 	Limits  *replicalimits.ReplicaLimits
 	Streams *streams.Streams
-	Now     func() time.Time
-	Logger  log.Logger
-	Metrics *Metrics
-	Crashes *Crashes
+	// Rollouts decides which software versions a request may use; nil allows all.
+	Rollouts *rollouts.Rollouts
+	Now      func() time.Time
+	Logger   log.Logger
+	Metrics  *Metrics
+	Crashes  *Crashes
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
 
@@ -163,6 +166,10 @@
 	service route.Service
 	// software is the software version that must serve the request; empty if any may.
 	software string
+	// choice has the software versions that the present attempt may run on. counted is true
+	// once the request was counted as one of its service.
+	choice  rollouts.Choice
+	counted bool
 	// connOpened is when the connection to the replica of the last attempt was first used.
 	connOpened time.Time
 	// budget bounds the retries of the service's requests.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -72,6 +72,7 @@
 	flusher := http.NewResponseController(c.w)
 	c.answered = false
 	var firstEvent time.Time
+	var pace eventPace
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
@@ -80,6 +81,7 @@
 				c.events.Scan(buf[:n])
 				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
 				firstEvent = c.observeEvents(firstEvent)
+				pace.observe(c.relay.Now(), c.summary.events)
 			}
 			_, werr := c.w.Write(buf[:n])
 			if werr == nil && flush {
@@ -95,6 +97,7 @@
 		}
 		if err == io.EOF {
 			c.summary.outcome = "ok"
+			c.recordComplete(pl, sentAt, resp.StatusCode, stream, pace)
 			c.relay.Replicas.WithPool(func(p *pool.Pool) { p.Succeeded(pl.ID) })
 			// A replica may return an error without running the request, so only a status
 			// below 300 counts as a successful run.
@@ -104,6 +107,7 @@
 			return true
 		}
 		if err != nil {
+			c.recordLost(c.relay.Now(), pl, sentAt, pace.first)
 			c.abortResponse(pl, "answer-broke-off", true, sentAt)
 			return false
 		}
--- a/entry/replicas/limits.go
+++ b/entry/replicas/limits.go
@@ -121,7 +121,7 @@
 	if rs.leaving(p.Replica) || rs.waitLeft(now, p.Replica) > 0 {
 		return false
 	}
-	if p.request.Software != "" && !rs.runs(p.Replica, p.request.Software) {
+	if (p.request.Software != "" || p.request.Versions.Restrict()) && !rs.runs(p.Replica, p.Software) {
 		return false
 	}
 	limit, ok := rs.Limit(p.ID, p.Incarnation)
--- /dev/null
+++ b/entry/rollouts/gossip.go
@@ -0,0 +1,67 @@
+package rollouts
+
+import (
+	"time"
+
+	"crocusfold.dev/core/canary"
+	"crocusfold.dev/core/topicview"
+	"crocusfold.dev/entry/adapter"
+	"crocusfold.dev/entry/message"
+)
+
+// FillGossip adds the rollouts to a message to a peer that has all changes before the time
+// since.
+func (ro *Rollouts) FillGossip(now time.Time, m *message.Gossip, since time.Time) {
+	if !ro.enabled() {
+		return
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	m.RolloutsKnown = ro.recordsKnown
+	for name, s := range ro.services {
+		if r := s.recorded; r.State != "" {
+			status := message.RolloutStatus{
+				Service: name, State: r.State, Target: r.Target, Era: r.Position.Era, Offset: r.Position.Offset,
+				Base: r.Base, Withdrawn: r.Withdrawn,
+			}
+			if !r.Deadline.IsZero() {
+				status.DeadlineMillis = r.Deadline.UnixMilli()
+			}
+			m.RolloutStatuses = append(m.RolloutStatuses, status)
+		}
+		if st, ok := s.canary.Export(now, since); ok {
+			m.Rollouts = append(m.Rollouts, st)
+		}
+	}
+}
+
+// MergeGossip merges the rollouts in a message of a peer, which took transit longer than its
+// fastest ones. It reports whether the change must be sent on at once.
+func (ro *Rollouts) MergeGossip(now time.Time, m message.Gossip, transit time.Duration) (urgent bool) {
+	if !ro.enabled() {
+		return false
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for _, r := range m.RolloutStatuses {
+		status := adapter.RolloutStatus{Service: r.Service, Status: canary.Status{
+			State: r.State, Target: r.Target, Position: topicview.Position{Era: r.Era, Offset: r.Offset}, Base: r.Base, Withdrawn: r.Withdrawn,
+		}}
+		if r.DeadlineMillis > 0 {
+			status.Deadline = time.UnixMilli(r.DeadlineMillis)
+		}
+		ro.record(status)
+	}
+	ro.recordsKnown = ro.recordsKnown || m.RolloutsKnown
+	for _, st := range m.Rollouts {
+		// The state of a service whose order this instance has not read yet comes again with
+		// the next message.
+		s, ok := ro.services[st.Order.Service]
+		if !ok || !s.known {
+			continue
+		}
+		s.canary.Merge(now, st, transit)
+		urgent = ro.observePhase(now, s) || urgent
+	}
+	return urgent
+}
--- a/entry/topics/schedule.go
+++ b/entry/topics/schedule.go
@@ -1,6 +1,7 @@
 package topics
 
 import (
+	"context"
 	"time"
 
 	"crocusfold.dev/entry/adapter"
@@ -51,6 +52,12 @@
 	t.instancesRequested = true
 }
 
+// ReadInstances reads the list of instances to its end. It returns an error if this instance
+// can't reach the log.
+func (t *Topics) ReadInstances(ctx context.Context) error {
+	return t.read(ctx, adapter.Instances, t.Now(), 0)
+}
+
 // pause returns the time until shouldRead is to be called again for a topic.
 func (t *Topics) pause(topic adapter.Topic) time.Duration {
 	now := t.Now()
