Decide on rollouts from evidence that instances exchange

Change: the share comes in pulses or on few replicas, evidence is compared by route, data centre, stage and replica, the verdict follows from likelihood ratios without the target's worst replica, orders and statuses are told apart by position.

--- a/core/canary/gossip.go
+++ b/core/canary/gossip.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"slices"
 	"time"
 
 	"crocusfold.dev/core/topicview"
@@ -9,6 +10,7 @@
 // State is what instances tell each other of the rollout of a service. The state that
 // one instance sends also has what it has heard from others.
 type State struct {
+	// Order has no Target if there is no order; then only Base and Ended count.
 	Order Order `cbor:"1,keyasint"`
 	// Began is the position of the record that began this attempt of the order.
 	// Order.Position is that of the newest record of it. Guessed is true if the sender
@@ -32,10 +34,10 @@
 	Counts  []Counts `cbor:"11,keyasint,omitempty"`
 }
 
-// Decision is what the leader has decided.
+// Decision is what a leader has decided. Of two decisions, that of the later phase counts;
+// later leaders go on from there.
 type Decision struct {
-	// Generation is that of the leader's lease. Of two decisions, that of the higher
-	// generation counts, then the one of the later phase.
+	// Generation is that of the leader's lease.
 	Generation uint64 `cbor:"1,keyasint,omitempty"`
 	Phase      Phase  `cbor:"2,keyasint,omitempty"`
 	// Age is the time since that phase began.
@@ -53,48 +55,241 @@
 	Running int `cbor:"4,keyasint,omitempty"`
 }
 
+type reportEntry struct {
+	Report
+	changed time.Time
+}
+
+// report makes this instance's own report.
+func (a *attempt) report(now time.Time, self Process, s Surroundings) {
+	r := a.reports[self]
+	if r == nil {
+		r = &reportEntry{Report: Report{Process: self}}
+		a.reports[self] = r
+	}
+	sends := a.phase() != Settling && a.phase() != Done
+	if r.Seq == 0 || r.SendsOld != sends || r.Running != s.OldRunning {
+		r.Seq++
+		r.SendsOld, r.Running, r.changed = sends, s.OldRunning, now
+	}
+}
+
 // Export returns the state to send to a peer that has all that was exported before
 // since; a zero since exports everything. It returns false if there is nothing to send.
 func (c *Canary) Export(now, since time.Time) (State, bool) {
-	if c.order.Target == "" {
-		return State{}, false
+	st := State{Base: c.base, Ended: c.withdrawn}
+	a := c.attempt
+	if a == nil {
+		return st, c.base != "" || len(c.withdrawn) > 0
 	}
-	st := State{Order: c.order, Began: c.began, Guessed: c.guessed, Age: now.Sub(c.start),
-		Decision: c.decision, Bad: c.bad, Why: c.why, Base: c.base, Ended: c.withdrawn}
-	st.Decision.Age = now.Sub(c.phaseStart)
-	for _, r := range c.reports {
-		st.Reports = append(st.Reports, *r)
+	st.Order, st.Began, st.Guessed, st.Age = a.order, a.began, a.guessed, now.Sub(a.start)
+	st.Decision, st.Bad, st.Why = a.decision, a.bad, a.why
+	st.Decision.Age = now.Sub(a.phaseStart)
+	for _, r := range a.reports {
+		if !r.changed.Before(since) {
+			st.Reports = append(st.Reports, r.Report)
+		}
 	}
-	for _, n := range c.counts {
-		st.Counts = append(st.Counts, *n)
+	for _, en := range a.evidence.processes {
+		if !en.changed.Before(since) {
+			st.Counts = append(st.Counts, en.export(since))
+		}
 	}
 	return st, true
 }
 
+// export returns what has changed since a time.
+func (en *entry) export(since time.Time) Counts {
+	n := en.counts
+	for _, ce := range en.cells {
+		if !ce.changed.Before(since) {
+			cl := ce.Cell
+			cl.FirstEvent, cl.MeanGap = slices.Clone(cl.FirstEvent), slices.Clone(cl.MeanGap)
+			n.Cells = append(n.Cells, cl)
+		}
+	}
+	for _, l := range en.losses {
+		if !l.changed.Before(since) {
+			n.Losses = append(n.Losses, l.Loss)
+		}
+	}
+	return n
+}
+
 // Merge takes in the state of a peer, which may be old, repeated or from an earlier
 // rollout. transit is the time since the peer exported it, as far as known.
 func (c *Canary) Merge(now time.Time, st State, transit time.Duration) {
-	if st.Order.Target != c.order.Target || st.Began != c.began {
-		return
+	a := c.attempt
+	if c.base == "" && (a == nil || st.Base != a.order.Target) {
+		c.base = st.Base
 	}
-	if begun := now.Add(-st.Age - transit); begun.Before(c.start) {
-		c.start = begun
+	for _, v := range st.Ended {
+		if a == nil || v != a.order.Target {
+			c.withdraw(v)
+		}
 	}
-	if st.Bad && !c.bad {
-		c.bad, c.why = true, st.Why
+	if a == nil || !c.isSameAttempt(now, st) {
+		return
 	}
-	d := st.Decision
-	if d.Generation > c.decision.Generation || d.Generation == c.decision.Generation && d.Phase > c.decision.Phase {
-		c.decision, c.phaseStart = d, now.Add(-d.Age-transit)
+	a = c.attempt
+	c.heard, a.exposure.bad = now, 0
+	if begun := now.Add(-st.Age - transit); begun.Before(a.start) {
+		a.start = begun
 	}
+	if st.Bad && !a.bad {
+		a.bad, a.why = true, st.Why
+	}
+	a.follow(st.Decision, now.Add(-st.Decision.Age-transit))
 	for _, r := range st.Reports {
-		if old := c.reports[r.Process]; r.Process != c.Self && (old == nil || old.Seq < r.Seq) {
-			c.reports[r.Process] = &r
+		if old := a.reports[r.Process]; r.Process != c.Self && (old == nil && len(a.reports) < maxProcesses || old != nil && old.Seq < r.Seq) {
+			a.reports[r.Process] = &reportEntry{r, now}
 		}
 	}
 	for _, n := range st.Counts {
 		if n.Process != c.Self {
-			c.counts[n.Process] = &n
+			a.evidence.merge(now, n)
+		}
+	}
+}
+
+// follow takes in a decision of a leader whose phase began at start.
+func (a *attempt) follow(d Decision, start time.Time) {
+	switch {
+	case d.Phase > Withdrawn || d.Phase < a.decision.Phase:
+	case d.Phase > a.decision.Phase:
+		a.decision, a.phaseStart, a.reason = d, start, ""
+	default:
+		a.decision.Generation = max(a.decision.Generation, d.Generation)
+		if start.Before(a.phaseStart) {
+			a.phaseStart = start
+		}
+	}
+}
+
+// isSameAttempt reports whether a state of a peer is about the present attempt, after it
+// has agreed with the peer on where that began, as far as either knows it.
+func (c *Canary) isSameAttempt(now time.Time, st State) bool {
+	a := c.attempt
+	switch {
+	case st.Order.Target != a.order.Target:
+		return false
+	case st.Began == a.began:
+		a.guessed = a.guessed && st.Guessed
+		return true
+	case st.Began.Era != a.began.Era:
+		// One of the two has not seen yet that the log was restored, or only knows the
+		// order as it was written again.
+		if a.guessed && !st.Guessed || a.guessed == st.Guessed && st.Began.Before(a.began) {
+			a.began, a.guessed = st.Began, st.Guessed
 		}
+		return st.Order.Duration == a.order.Duration
+	case st.Began.Before(a.began):
+		if a.guessed && !st.Order.Position.Before(a.began) {
+			a.began, a.guessed = st.Began, st.Guessed
+			return true
+		}
+		return false
+	case st.Guessed:
+		// The peer will learn that the attempt began earlier, if it has seen no more than
+		// this instance.
+		return !a.order.Position.Before(st.Began)
+	}
+	if a.order.Position.Before(st.Began) {
+		return false // this instance has not read the record yet
+	}
+	c.restart(now, st.Began)
+	return true
+}
+
+// merge takes in the counts of a process. Of each number, the larger one holds.
+func (e *evidence) merge(now time.Time, n Counts) {
+	if len(e.processes) >= maxProcesses && e.processes[n.Process] == nil {
+		return
+	}
+	en := e.entry(n.Process)
+	own := &en.counts
+	changed := grow(&own.SentOld, n.SentOld, &e.sent[0])
+	changed = grow(&own.SentTarget, n.SentTarget, &e.sent[1]) || changed
+	changed = grow(&own.UnsentOld, n.UnsentOld, &e.unsent[0]) || changed
+	changed = grow(&own.UnsentTarget, n.UnsentTarget, &e.unsent[1]) || changed
+	if n.LongestMillis > own.LongestMillis {
+		own.LongestMillis, changed = n.LongestMillis, true
+		e.longest = max(e.longest, time.Duration(n.LongestMillis)*time.Millisecond)
+	}
+	for _, cl := range n.Cells {
+		changed = e.mergeCell(now, en, &cl) || changed
+	}
+	for _, l := range n.Losses {
+		old := en.losses[l.Replica]
+		if old == nil && len(en.losses) >= maxCells || old != nil && old.Events >= l.Events {
+			continue
+		}
+		en.losses[l.Replica] = &lossEntry{Loss: l, changed: now}
+		e.mergeLoss(l)
+		changed = true
+	}
+	if changed {
+		en.changed = now
+	}
+}
+
+func (e *evidence) mergeCell(now time.Time, en *entry, cl *Cell) bool {
+	k := cl.key()
+	old := en.cells[k]
+	if old == nil {
+		if len(en.cells) >= 2*maxCells {
+			return false
+		}
+		old = &cellEntry{Cell: Cell{Route: cl.Route, DataCentre: cl.DataCentre, Target: cl.Target, Stage: cl.Stage, Replica: cl.Replica}}
+		en.cells[k] = old
+	}
+	d := cl.growth(&old.Cell)
+	if d == nil {
+		return false
+	}
+	old.Cell.add(d)
+	old.changed = now
+	e.sum(k, d)
+	return true
+}
+
+// growth returns by how much the numbers of cl are over those of old, nil if none is.
+func (cl *Cell) growth(old *Cell) *Cell {
+	d, grown := &Cell{}, false
+	over := func(n, o uint32) uint32 {
+		if n <= o {
+			return 0
+		}
+		grown = true
+		return n - o
+	}
+	d.Responses = over(cl.Responses, old.Responses)
+	d.Failed, d.Lost = over(cl.Failed, old.Failed), over(cl.Lost, old.Lost)
+	d.Timed, d.Slow = over(cl.Timed, old.Timed), over(cl.Slow, old.Slow)
+	overBuckets := func(n, o []uint32) []uint32 {
+		out := make([]uint32, min(len(n), buckets))
+		for i := range out {
+			before := uint32(0)
+			if i < len(o) {
+				before = o[i]
+			}
+			out[i] = over(n[i], before)
+		}
+		return out
+	}
+	d.FirstEvent, d.MeanGap = overBuckets(cl.FirstEvent, old.FirstEvent), overBuckets(cl.MeanGap, old.MeanGap)
+	if !grown {
+		return nil
+	}
+	return d
+}
+
+// grow raises own to n, and the sum by as much.
+func grow(own *uint32, n uint32, sum *uint64) bool {
+	if n <= *own {
+		return false
 	}
+	*sum += uint64(n - *own)
+	*own = n
+	return true
 }
--- /dev/null
+++ b/core/canary/schedule.go
@@ -0,0 +1,143 @@
+package canary
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of a rollout as fractions of its duration.
+const (
+	// moveAt is when moving begins by default. The requests of the old version then have a
+	// quarter of the duration to end, and a fault that shows at once when moving begins has
+	// used less than the bound (TestSchedule).
+	moveAt = 0.65
+	// earliestMove is when moving may begin if the requests of the old version need longer.
+	// Before, there would be less evidence than a fault of one response in ten needs.
+	earliestMove = 0.5
+	// doubtTime is by how much moving is put off while the evidence is doubtful.
+	doubtTime = 0.1
+	// stepTime is how long each step of moving takes, within minStep and maxStep, and
+	// maxStepTime a limit for durations of a few seconds.
+	stepTime    = 0.06
+	maxStepTime = 0.1
+	// settleBy is when settling begins at the latest, unless the target is bad.
+	settleBy = 0.88
+	// watchPeriod is the time between two pulses of the share.
+	watchPeriod = 0.2
+)
+
+const (
+	minStep = 400 * time.Millisecond
+	maxStep = 5 * time.Second
+	// completeBefore is how long before its deadline a rollout is completed at the latest:
+	// the time in which the status is written, read and acted on.
+	completeBefore = 400 * time.Millisecond
+	// silentAfter is how long after the last state heard from a peer an instance sends
+	// nothing more to a target that may still turn out bad. Peers call each other every
+	// 160 to 400 ms (core/peering).
+	silentAfter = 2 * time.Second
+
+	// watchShare is the part of the exposure bound that watching uses.
+	watchShare = 0.38
+	// boost is by how much more load than usual the target's replicas get for a time.
+	boost = 1.5
+	// turns is how often all replicas in use for watching are exchanged for others within
+	// a rollout's duration, so that one faulty replica is told from a bad version.
+	turns = 4.6
+)
+
+// moveShares are the shares of the steps of moving.
+var moveShares = [...]float64{0.25, 0.5}
+
+// stage says under which share a response was sent. Only responses of the same stage are
+// compared.
+type stage uint8
+
+const (
+	stageWatch stage = iota
+	stageBoost
+	stageMove // and one for each further step of moving
+	stageAll  = stageMove + stage(len(moveShares))
+	// stageNone is that of times in which the target gets nothing.
+	stageNone stage = 15
+	stageBits       = 4
+)
+
+// part returns a fraction of the duration.
+func (a *attempt) part(f float64) time.Duration {
+	return time.Duration(f * float64(a.order.Duration))
+}
+
+// step returns how long each step of moving takes.
+func (a *attempt) step() time.Duration {
+	return min(max(a.part(stepTime), minStep), a.part(maxStepTime), maxStep)
+}
+
+// load is the target's part of the requests at one time.
+type load struct {
+	share float64
+	// replicas is the number of the target's replicas that get it; 0 for all.
+	replicas int
+	stage    stage
+}
+
+// loadAt returns the load of the target at now.
+func (a *attempt) loadAt(now time.Time, b Bounds) load {
+	age := now.Sub(a.start)
+	switch phase := a.phase(); {
+	case phase == Settling || phase == Done:
+		return load{1, 0, stageAll}
+	case phase != Watching && phase != Moving || a.targetReplicas == 0 || age >= a.order.Duration:
+		return load{0, 0, stageNone}
+	case phase == Watching:
+		return a.watchLoad(age, b)
+	}
+	i := min(max(int(now.Sub(a.phaseStart)/a.step()), 0), len(moveShares)-1)
+	return load{moveShares[i], a.replicasFor(moveShares[i]), stageMove + stage(i)}
+}
+
+// replicasFor returns how many replicas of the target carry at least the load of an old
+// replica if they get a share of the requests; 0 if that is all of them or more.
+func (a *attempt) replicasFor(share float64) int {
+	n := max(1, int(share/(1-share)*float64(a.oldReplicas)))
+	if n >= a.targetReplicas {
+		return 0
+	}
+	return n
+}
+
+// watchLoad returns the load while watching. If the share is too small for one replica to
+// carry the load of an old one, it comes in pulses that are as large as that takes, with
+// the same share on average.
+func (a *attempt) watchLoad(age time.Duration, b Bounds) load {
+	mean := watchShare * b.Share
+	l := load{mean, a.replicasFor(mean), stageWatch}
+	period := a.part(watchPeriod)
+	inPeriod := age % max(period, 1)
+	if single := 1 / float64(1+max(a.oldReplicas, 1)); single > mean {
+		l.share = single
+		if inPeriod < time.Duration((1-mean/single)*float64(period)) {
+			return load{0, 0, stageNone}
+		}
+	}
+	if age/max(period, 1) == 1 && inPeriod >= period/2 {
+		l.share, l.stage = min(boost*l.share, 0.5), stageBoost
+	}
+	return l
+}
+
+// Rank orders the target's replicas for Choice.Replicas: those with the lowest rank are the
+// first ones. All instances get about the same order, which changes slowly. replica is the
+// name of the replica.
+func (c *Canary) Rank(now time.Time, replica string) float64 {
+	rank := float64(xxhash.Sum64String(replica)>>11) / (1 << 53)
+	if a := c.attempt; a != nil && a.targetReplicas > 0 {
+		n := a.replicasFor(watchShare * c.Bounds.Share)
+		turned := float64(now.Sub(a.start)) / float64(a.order.Duration) * turns * float64(n) / float64(a.targetReplicas)
+		rank -= turned
+		rank -= math.Floor(rank)
+	}
+	return rank
+}
--- /dev/null
+++ b/core/canary/verdict.go
@@ -0,0 +1,330 @@
+package canary
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// falseAlarm is the part of the rollouts of good versions that may be found bad over
+	// the whole time, and lateFalseAlarm the part at one of the two times when it must be
+	// decided. One in a hundred rollouts of good versions may fail for any reason.
+	falseAlarm     = 0.002
+	lateFalseAlarm = 0.004
+	// doubtful is how many times likelier than good a version must be bad for the decision
+	// to be put off, for each comparison.
+	doubtful = 3
+	// badResponses is the number of bad responses from which the rollback time counts, and
+	// countRule the number that ends a rollout even if they are hardly more than usual. It
+	// leaves room for what is on its way and for one replica that doesn't count.
+	badResponses = 50
+	countRule    = 20
+	// minFailures is the least number of failures of a bad version, since the first ones
+	// may have one cause.
+	minFailures = 3
+	// excess is by how much the part of bad responses must be over that of the old version.
+	failureExcess = 0.003
+	slowExcess    = 0.08
+	// times over the old version's part that a bad version must have.
+	minRatio = 2
+	// afterwards is by how many times stronger the evidence must be when the old version no
+	// longer gets requests to compare with, and minAfterwards the failures it needs.
+	afterwards    = 20
+	minAfterwards = 10
+)
+
+// ratios are the ratios of the parts of bad responses, target to old, that a bad version
+// may have. The evidence for each is averaged.
+var ratios = [...]float64{2, 4, 16, 64}
+
+// measure says what makes a response bad.
+type measure int
+
+const (
+	failures measure = iota
+	slowness
+	measures
+)
+
+// trials counts what was tried at old replicas and at the target, and how much of it was
+// bad.
+type trials struct{ n, bad [2]float64 }
+
+// stratum holds responses that can be compared.
+type stratum struct {
+	place
+	stage stage
+}
+
+// tried is what one replica of the target adds to a stratum.
+type tried struct {
+	stratum stratum
+	replica uint32
+	n, bad  [measures]float64
+}
+
+// findings is what follows from the evidence at one time.
+type findings struct {
+	version uint64
+	known   bool
+	// proof is the greatest log likelihood ratio of bad to good over all comparisons,
+	// without the worst replica of the target; doubt that with all replicas, less what
+	// one comparison must exceed.
+	proof, doubt float64
+	// tests is the number of comparisons.
+	tests float64
+	why   string
+	// responses and sent are those of the old version and of the target.
+	responses [2]float64
+}
+
+// judge finds the target bad if the evidence says so.
+func (a *attempt) judge() {
+	f := &a.findings
+	if f.known && f.version == a.evidence.version {
+		return
+	}
+	t := newTable(&a.evidence, a.targetReplicas)
+	*f = findings{version: a.evidence.version, known: true, tests: float64(int(measures) * (1 + len(t.routes)))}
+	for st := range t.strata {
+		for i := range f.responses {
+			f.responses[i] += t.strata[st][failures].n[i]
+		}
+	}
+	for _, route := range append([]string{""}, t.routes...) {
+		for m := range measures {
+			proof, doubt, why := t.compare(route, m)
+			f.doubt = max(f.doubt, doubt)
+			if proof > f.proof {
+				f.proof, f.why = proof, why
+			}
+		}
+	}
+	if a.bad {
+		return
+	}
+	if f.proof >= math.Log(f.tests/falseAlarm) {
+		a.bad, a.why = true, f.why
+	} else if why, bad := t.countRule(); bad {
+		a.bad, a.why = true, why
+	} else if why, bad := t.compareAfterwards(); bad {
+		a.bad, a.why = true, why
+	}
+}
+
+// calm reports whether nothing speaks against the target.
+func (f *findings) calm() bool { return f.doubt < math.Log(doubtful*f.tests) }
+
+// condemns reports whether the target is to be found bad when it must be decided.
+func (f *findings) condemns() bool { return f.proof >= math.Log(f.tests/lateFalseAlarm) }
+
+// table has the evidence in the form in which it is compared.
+type table struct {
+	strata map[stratum]*[measures]trials
+	// tried has the part of the target, in any order.
+	tried  []tried
+	routes []string
+	// single is true if the target has only one replica, which then counts.
+	single bool
+}
+
+func newTable(e *evidence, replicas int) *table {
+	t := &table{strata: map[stratum]*[measures]trials{}, single: replicas == 1}
+	routes := map[string]bool{}
+	for k, cl := range e.cells {
+		d := tried{stratum{place{k.route, k.dataCentre}, k.stage}, k.replica,
+			[measures]float64{float64(cl.Responses), float64(cl.Timed)},
+			[measures]float64{float64(cl.Failed), float64(cl.Slow)}}
+		t.add(d, k.target)
+		if k.target && !routes[k.route] {
+			routes[k.route] = true
+			t.routes = append(t.routes, k.route)
+		}
+	}
+	for _, l := range e.losses {
+		t.add(tried{stratum{place{l.Route, l.DataCentre}, stage(l.Stage)}, l.Replica,
+			[measures]float64{}, [measures]float64{float64(l.Events), 0}}, l.Target)
+	}
+	return t
+}
+
+func (t *table) add(d tried, target bool) {
+	st := t.strata[d.stratum]
+	if st == nil {
+		st = &[measures]trials{}
+		t.strata[d.stratum] = st
+	}
+	version := 0
+	if target {
+		version = 1
+		t.tried = append(t.tried, d)
+	}
+	for m := range measures {
+		st[m].n[version] += d.n[m]
+		st[m].bad[version] += d.bad[m]
+	}
+}
+
+// worst returns the replica of the target with the most bad responses on a route (all if
+// empty), by one measure or all (measures). The number of replicas seen is the second
+// result.
+func (t *table) worst(route string, m measure) (replica uint32, seen int) {
+	bad := map[uint32]float64{}
+	for _, d := range t.tried {
+		switch {
+		case route != "" && d.stratum.route != route:
+		case m == measures:
+			bad[d.replica] += d.bad[failures] + d.bad[slowness]
+		default:
+			bad[d.replica] += d.bad[m]
+		}
+	}
+	most := -1.0
+	for r, n := range bad {
+		if n > most || n == most && r < replica {
+			replica, most = r, n
+		}
+	}
+	return replica, len(bad)
+}
+
+// select returns the trials by stratum on a route (all if empty), without those of one
+// replica of the target if without is not 0.
+func (t *table) only(route string, m measure, without uint32) map[stratum]trials {
+	out := make(map[stratum]trials, len(t.strata))
+	for st, all := range t.strata {
+		if route == "" || st.route == route {
+			out[st] = all[m]
+		}
+	}
+	if without == 0 {
+		return out
+	}
+	for _, d := range t.tried {
+		if tr, ok := out[d.stratum]; ok && d.replica == without {
+			tr.n[1] -= d.n[m]
+			tr.bad[1] -= d.bad[m]
+			out[d.stratum] = tr
+		}
+	}
+	return out
+}
+
+// compare returns the evidence against the target on a route (all if empty), without the
+// worst replica and with all of them.
+func (t *table) compare(route string, m measure) (proof, doubt float64, why string) {
+	all := summarize(t.only(route, m, 0))
+	doubt = all.likelihood()
+	worst, seen := t.worst(route, m)
+	rest := all
+	if !t.single {
+		if seen < 2 {
+			return 0, doubt, ""
+		}
+		rest = summarize(t.only(route, m, worst))
+	}
+	excess := slowExcess
+	if m == failures {
+		excess = failureExcess
+	}
+	if rest.bad < minFailures || rest.bad < minRatio*rest.expected || rest.bad-rest.expected < excess*rest.n {
+		return 0, doubt, ""
+	}
+	return rest.likelihood(), doubt, all.describe(route, [...]string{"failed", "were slow"}[m])
+}
+
+// countRule reports whether the number of bad responses alone ends the rollout.
+func (t *table) countRule() (why string, bad bool) {
+	worst, seen := t.worst("", measures)
+	if t.single {
+		worst = 0
+	} else if seen < 2 {
+		return "", false
+	}
+	f, s := summarize(t.only("", failures, worst)), summarize(t.only("", slowness, worst))
+	n, expected := f.bad+s.bad, f.expected+s.expected
+	if n < countRule || n < minRatio*expected {
+		return "", false
+	}
+	return fmt.Sprintf("%.0f bad responses, where %.1f are usual", n, expected), true
+}
+
+// compareAfterwards compares the responses since all requests go to the target with those
+// of the old version before.
+func (t *table) compareAfterwards() (why string, bad bool) {
+	worst, _ := t.worst("", failures)
+	before, after := map[place]trials{}, map[stratum]trials{}
+	for st, tr := range t.only("", failures, worst) {
+		old := before[st.place]
+		old.n[0] += tr.n[0]
+		old.bad[0] += tr.bad[0]
+		before[st.place] = old
+	}
+	for st, tr := range t.only("", failures, worst) {
+		if st.stage == stageAll {
+			after[st] = trials{[2]float64{before[st.place].n[0], tr.n[1]}, [2]float64{before[st.place].bad[0], tr.bad[1]}}
+		}
+	}
+	s := summarize(after)
+	if s.bad < minAfterwards || s.bad < minRatio*s.expected || s.likelihood() < math.Log(afterwards/falseAlarm) {
+		return "", false
+	}
+	return s.describe("", "failed after the old version"), true
+}
+
+// summary is a comparison over strata.
+type summary struct {
+	strata []trials
+	// n and bad are those of the target, expected the bad ones if it were like the old
+	// version. Strata in which only one version was tried don't count.
+	n, bad, expected float64
+	oldN, oldBad     float64
+}
+
+func summarize(strata map[stratum]trials) summary {
+	var s summary
+	for _, tr := range strata {
+		if tr.n[0] <= 0 || tr.n[1] <= 0 {
+			continue
+		}
+		s.strata = append(s.strata, tr)
+		s.n += tr.n[1]
+		s.bad += tr.bad[1]
+		s.expected += tr.n[1] * tr.bad[0] / tr.n[0]
+		s.oldN += tr.n[0]
+		s.oldBad += tr.bad[0]
+	}
+	return s
+}
+
+// likelihood returns the logarithm of how many times likelier the bad responses fall on
+// the two versions as they do if the target is bad than if it is like the old version.
+// Each bad response then falls on the target with a probability that follows from the
+// ratio and from the part of the responses that the target had. For a good version, the
+// result ever exceeds x with a probability of exp(-x) at most.
+func (s summary) likelihood() float64 {
+	var logs [len(ratios)]float64
+	for _, tr := range s.strata {
+		part := tr.n[1] / (tr.n[0] + tr.n[1])
+		for i, r := range ratios {
+			logs[i] += tr.bad[1]*math.Log(r) - (tr.bad[0]+tr.bad[1])*math.Log(r*part+1-part)
+		}
+	}
+	top := math.Inf(-1)
+	for _, l := range logs {
+		top = max(top, l)
+	}
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - top)
+	}
+	return top + math.Log(sum/float64(len(ratios)))
+}
+
+// describe names the evidence for logs and operators.
+func (s summary) describe(route, what string) string {
+	if route != "" {
+		route = " on " + route
+	}
+	return fmt.Sprintf("%.0f of %.0f responses of the target%s %s, %.0f of %.0f of the old version", s.bad, s.n, route, what, s.oldBad, s.oldN)
+}
