Follow the decisions of core/canary on the path of requests

Cause: core/canary now chooses replicas by rank, tells stages of a rollout apart in Choice.Rollout and exports states without an order. Change: pool.Versions takes the rank of a replica; what may be sent is checked by phase, target and rolled back versions; states name their service, and those without an order are sent only after a change; a new leader reads the recorded status before it asks what is due; steps go on after a restore of the log, but orders are taken in only once the operators had time to write again. Evidence: TestPath/rollouts passes (-cpu 1), go vet is clean.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -179,7 +179,7 @@
 		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || req.Tried[r.ID] {
 			continue
 		}
-		if req.Software != "" && r.Software != req.Software || !req.Versions.Allow(r.Software) || restricted && r.hash > highest {
+		if req.Software != "" && r.Software != req.Software || !req.Versions.Allow(r.Software) || restricted && req.Versions.Rank(r.ID) > highest {
 			continue
 		}
 		version := 0
--- a/core/pool/versions.go
+++ b/core/pool/versions.go
@@ -8,9 +8,10 @@
 	// Only is the one version that is allowed. If it is empty, all are but those in Except.
 	Only   string
 	Except []string
-	// First is the number of replicas that may be chosen, the first ones of an order that all
-	// instances have in common; 0 allows all.
+	// First is the number of replicas that may be chosen: those with the lowest Rank, which is
+	// given their id. 0 allows all, and needs no Rank.
 	First int
+	Rank  func(id string) float64
 }
 
 // Allow reports whether a replica may have a software version.
@@ -24,24 +25,24 @@
 // Restrict reports whether some versions are not allowed.
 func (v Versions) Restrict() bool { return v.Only != "" || len(v.Except) > 0 }
 
-// highestOfFirst returns the highest hash of the first replicas that a request may use; ok is
+// highestOfFirst returns the highest rank of the first replicas that a request may use; ok is
 // false if it may use all. Replicas that leave or are in closed data centres don't count,
 // but those that are full or failing do, so that the request does not spread to others.
-func (p *Pool) highestOfFirst(req Request) (highest uint64, ok bool) {
+func (p *Pool) highestOfFirst(req Request) (highest float64, ok bool) {
 	if req.Versions.First <= 0 {
 		return 0, false
 	}
-	var hashes []uint64
+	var ranks []float64
 	for _, r := range p.replicas {
 		if r.Service == req.Service && !r.Draining && !req.ClosedDataCentres[r.DataCentre] && req.Versions.Allow(r.Software) {
-			hashes = append(hashes, r.hash)
+			ranks = append(ranks, req.Versions.Rank(r.ID))
 		}
 	}
-	if len(hashes) <= req.Versions.First {
+	if len(ranks) <= req.Versions.First {
 		return 0, false
 	}
-	slices.Sort(hashes)
-	return hashes[req.Versions.First-1], true
+	slices.Sort(ranks)
+	return ranks[req.Versions.First-1], true
 }
 
 // ForEach calls do with each replica, in no particular order.
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -58,13 +58,20 @@
 	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
 	// Rollouts has the rollouts of software versions that the sender knows, with the evidence
 	// of all instances that it has heard of.
-	Rollouts []canary.State `cbor:"48,keyasint,omitempty"`
+	Rollouts []Rollout `cbor:"48,keyasint,omitempty"`
 	// RolloutStatuses has the newest recorded status of rollouts. RolloutsKnown is true if it
 	// is complete.
 	RolloutStatuses []RolloutStatus `cbor:"49,keyasint,omitempty"`
 	RolloutsKnown   bool            `cbor:"50,keyasint,omitempty"`
 }
 
+// Rollout is the state of the rollout of a service.
+type Rollout struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	State   canary.State
+}
+
 // RolloutStatus is the recorded status of a rollout; see canary.Status. Era and Offset are
 // its position, and DeadlineMillis is the Unix time of its deadline, 0 if it is not known.
 type RolloutStatus struct {
--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -46,7 +46,7 @@
 		return nil, replicas.Refusal{Reason: rolloutsUnknown}
 	}
 	c.counted = true
-	req.Versions = c.choice.Allows()
+	req.Versions = ro.Allows(now, c.choice)
 	pl, ref := c.relay.Replicas.Place(now, req)
 	if pl != nil {
 		return pl, ref
@@ -58,7 +58,7 @@
 	if c.choice = ro.Old(now, c.service.Name, c.route.Name); !c.choice.Allowed {
 		return nil, ref
 	}
-	req.Versions = c.choice.Allows()
+	req.Versions = ro.Allows(now, c.choice)
 	if pl, ref = c.relay.Replicas.Place(now, req); pl == nil {
 		ro.Unsent(now, c.choice)
 	}
@@ -110,10 +110,14 @@
 // failed.
 func (c *call) recordComplete(pl *replicas.Placement, sentAt time.Time, status int, stream bool, pace eventPace) {
 	now := c.relay.Now()
-	o := canary.Outcome{FirstEvent: now.Sub(sentAt), MeanGap: pace.meanGap()}
+	o := canary.Outcome{FirstEvent: now.Sub(sentAt), MeanGap: pace.meanGap(), Duration: now.Sub(sentAt)}
 	if !pace.first.IsZero() {
 		o.FirstEvent = pace.first.Sub(sentAt)
 	}
+	if all, fetched, _ := pl.PartCounts(); c.choice.Target && all > fetched {
+		// Old replicas usually have the context that this one had to prefill.
+		o.FirstEvent = 0
+	}
 	o.Failed = status >= http.StatusInternalServerError ||
 		status < http.StatusMultipleChoices && c.route.Kind == route.Streaming && !stream
 	c.recordOutcome(now, pl, o)
@@ -134,7 +138,8 @@
 	default:
 		o.Lost = true
 	}
-	if o.FirstEvent = now.Sub(sentAt); !firstEvent.IsZero() {
+	o.Duration = now.Sub(sentAt)
+	if o.FirstEvent = o.Duration; !firstEvent.IsZero() {
 		o.FirstEvent = firstEvent.Sub(sentAt)
 	}
 	c.recordOutcome(now, pl, o)
--- a/entry/rollouts/gossip.go
+++ b/entry/rollouts/gossip.go
@@ -29,8 +29,11 @@
 			}
 			m.RolloutStatuses = append(m.RolloutStatuses, status)
 		}
+		if s.target == "" && s.versionsAt.Before(since) {
+			continue
+		}
 		if st, ok := s.canary.Export(now, since); ok {
-			m.Rollouts = append(m.Rollouts, st)
+			m.Rollouts = append(m.Rollouts, message.Rollout{Service: name, State: st})
 		}
 	}
 }
@@ -53,14 +56,12 @@
 		ro.record(status)
 	}
 	ro.recordsKnown = ro.recordsKnown || m.RolloutsKnown
-	for _, st := range m.Rollouts {
-		// The state of a service whose order this instance has not read yet comes again with
-		// the next message.
-		s, ok := ro.services[st.Order.Service]
+	for _, r := range m.Rollouts {
+		s, ok := ro.services[r.Service]
 		if !ok || !s.known {
 			continue
 		}
-		s.canary.Merge(now, st, transit)
+		s.canary.Merge(now, r.State, transit)
 		urgent = ro.observePhase(now, s) || urgent
 	}
 	return urgent
--- a/entry/rollouts/requests.go
+++ b/entry/rollouts/requests.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"slices"
 	"time"
 
 	"crocusfold.dev/core/canary"
@@ -20,9 +21,17 @@
 	resumes bool
 }
 
-// Allows returns the restriction of a request to the versions of the choice.
-func (ch Choice) Allows() pool.Versions {
-	return pool.Versions{Only: ch.Versions.Only, Except: ch.Versions.Except, First: ch.Replicas}
+// Allows returns the restriction of a request to the versions of a choice.
+func (ro *Rollouts) Allows(now time.Time, ch Choice) pool.Versions {
+	v := pool.Versions{Only: ch.Versions.Only, Except: ch.Versions.Except, First: ch.Replicas}
+	if v.First > 0 {
+		v.Rank = func(id string) float64 {
+			ro.mu.Lock()
+			defer ro.mu.Unlock()
+			return ro.service(ch.service).canary.Rank(now, id)
+		}
+	}
+	return v
 }
 
 // Known reports whether the rules of the service are known. If not, the choice allows nothing.
@@ -60,9 +69,7 @@
 	if !ok || !s.known {
 		return Choice{service: name, Choice: canary.Choice{Why: "the rollout orders are not known yet"}}
 	}
-	ch := decide(&s.canary)
-	s.rollout = ch.Rollout
-	return Choice{service: name, known: true, Choice: ch}
+	return Choice{service: name, known: true, Choice: decide(&s.canary)}
 }
 
 // Unsent says that no replica got the request of a choice.
@@ -77,25 +84,29 @@
 	}
 }
 
-// MaySend reports whether the request of a choice may still be sent. It is called right
-// before that, since the rollout may have ended while the request waited.
-func (ro *Rollouts) MaySend(ch Choice) bool {
+// MaySend reports whether the request of a choice may still be sent to a replica with a
+// software version. It is called right before that, since the rollout may have gone on while
+// the request waited.
+func (ro *Rollouts) MaySend(ch Choice, software string) bool {
 	if ch.any || !ro.enabled() {
 		return true
 	}
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	s, ok := ro.services[ch.service]
-	if !ok || !ch.Allowed || ch.Rollout != s.rollout && ch.Rollout != 0 {
+	if !ok || !ch.Allowed {
 		return false
 	}
-	switch s.phase {
-	case canary.Settling, canary.Done:
-		return ch.Target || ch.resumes
-	case canary.Withdrawn:
-		return !ch.Target
+	isTarget := s.target != "" && software == s.target
+	switch {
+	case isTarget && s.phase == canary.Withdrawn, !isTarget && slices.Contains(s.withdrawn, software):
+		return false
+	case ch.resumes:
+		return true
+	case isTarget:
+		return ch.Target
 	}
-	return true
+	return s.phase != canary.Settling && s.phase != canary.Done
 }
 
 // Began counts a request that is about to be sent to a replica with a software version. Each
--- a/entry/rollouts/rollouts.go
+++ b/entry/rollouts/rollouts.go
@@ -81,9 +81,12 @@
 	changed bool
 	// rewrite is true if the log may have lost the recorded status.
 	rewrite bool
-	// phase and rollout are those of the canary after its latest change.
-	phase   canary.Phase
-	rollout uint64
+	// phase, target, base and withdrawn are those of the canary after its latest change. base
+	// or withdrawn last changed at versionsAt.
+	phase        canary.Phase
+	target, base string
+	withdrawn    []string
+	versionsAt   time.Time
 	// running has the number of requests that run at replicas, by software version.
 	running  map[string]int
 	loggedAt time.Time
@@ -240,10 +243,14 @@
 	notify := false
 	ro.mu.Lock()
 	request := !ro.recordsKnown && now.Sub(ro.startedAt) > recordsWait
-	ready := ok && proven.Complete && ro.recordsKnown && ro.instances > 0 && ro.intent != nil
-	if ready {
-		for name, s := range ro.services {
+	// After a restore of the log, the orders that the operators write again are awaited: an
+	// order that is written again in the same era would be a new attempt.
+	current := ok && proven.Complete && ro.recordsKnown && ro.instances > 0 && ro.intent != nil
+	for name, s := range ro.services {
+		if current {
 			ro.apply(now, s)
+		}
+		if s.known {
 			notify = ro.advance(now, s, canary.Surroundings{
 				Leader: leads, Generation: token, Reachable: reachable, Versions: versions[name],
 				OldRunning: s.oldRunning(), LongestTimeout: ro.intent.Table.LongestTimeout(name),
@@ -291,7 +298,11 @@
 func (ro *Rollouts) observePhase(now time.Time, s *service) bool {
 	sum := s.canary.Summary(now)
 	changed := sum.Phase != s.phase
-	s.phase = sum.Phase
+	s.phase, s.target = sum.Phase, sum.Order.Target
+	// The state without the evidence, of which nothing has changed since the future.
+	if st, _ := s.canary.Export(now, now.Add(time.Hour)); st.Base != s.base || !slices.Equal(st.Ended, s.withdrawn) {
+		s.base, s.withdrawn, s.versionsAt = st.Base, st.Ended, now
+	}
 	running := sum.Phase == canary.Watching || sum.Phase == canary.Moving || sum.Phase == canary.Settling
 	if !changed && (!running || now.Sub(s.loggedAt) < logInterval) {
 		return changed
@@ -308,7 +319,7 @@
 }
 
 // countsText returns the counts of routes and versions for the log: for each, the route, the
-// version, and the numbers of requests sent, answered, failed, lost and slow.
+// version, and the numbers of responses and of those that failed, were lost or slow.
 func countsText(routes []canary.RouteSummary) string {
 	out := ""
 	for i, r := range routes {
@@ -319,8 +330,7 @@
 		if r.Target {
 			version = "target"
 		}
-		out += r.Route + "/" + version + "=" + strconv.FormatUint(r.Sent, 10) + "," + strconv.FormatUint(r.Responses, 10) + "," +
-			strconv.FormatUint(r.Failed, 10) + "," + strconv.FormatUint(r.Lost, 10) + "," + strconv.FormatUint(r.Slow, 10)
+		out += r.Route + "/" + version + "=" + strconv.FormatUint(r.Responses, 10) + "," + strconv.FormatUint(r.Failed, 10) + "," + strconv.FormatUint(r.Lost, 10) + "," + strconv.FormatUint(r.Slow, 10)
 	}
 	return out
 }
--- a/entry/rollouts/write.go
+++ b/entry/rollouts/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"crocusfold.dev/core/canary"
 	"crocusfold.dev/entry/adapter"
 )
 
@@ -52,12 +53,12 @@
 	if ro.writer.epoch != token {
 		ro.writer = writer{epoch: token}
 	}
-	due := ro.due(now)
-	confirmed := ro.writer.confirmed
-	ro.mu.Unlock()
-	if len(due) == 0 {
-		return
+	confirmed := ro.writer.confirmed || !ro.mayWrite()
+	var due []write
+	if confirmed {
+		due = ro.due(now)
 	}
+	ro.mu.Unlock()
 	if !confirmed {
 		// The previous leader may have recorded a status that has not been received.
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -79,6 +80,16 @@
 	}
 }
 
+// mayWrite reports whether a service may have a status to write. The caller holds the lock.
+func (ro *Rollouts) mayWrite() bool {
+	for _, s := range ro.services {
+		if s.order != nil || s.recorded.State == canary.Serving || s.rewrite {
+			return true
+		}
+	}
+	return false
+}
+
 // due returns the writes that are due. The caller holds the lock.
 func (ro *Rollouts) due(now time.Time) []write {
 	var out []write
