Round the wait for the operators up to whole milliseconds

Cause: after a restore of the log, a reader waits in its read for the rest of the time in which the operators write again. A rest below a millisecond was sent as no wait, so that reads followed one another without a pause until the time was over. In fake time without transit that never ends. Ruled out: the rollouts themselves; the log shows no line of them while it spins. Change: the wait is rounded up.

--- a/entry/topics/schedule.go
+++ b/entry/topics/schedule.go
@@ -39,11 +39,16 @@
 	defer t.mu.Unlock()
 	wait := readWaits[topic]
 	if topic == adapter.Operations && !t.restore.covers(t.views[topic].Proof()) {
-		wait = min(wait, t.restore.settlesIn(now))
+		// Reads wait for whole milliseconds. A shorter wait would be none, so that reads follow
+		// one another without a pause until the time is over.
+		wait = min(wait, roundUp(t.restore.settlesIn(now), time.Millisecond))
 	}
 	return wait
 }
 
+// roundUp returns d as a multiple of unit, rounded up.
+func roundUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit * unit }
+
 // RequestInstances makes this instance read the list of instances once, even if it is
 // not a reader.
 func (t *Topics) RequestInstances() {
