--- a/entry/rollouts/requests.go
+++ b/entry/rollouts/requests.go
@@ -142,13 +142,15 @@
 	}
 }
 
-// versions returns the software versions of all services.
-func (ro *Rollouts) versions(now time.Time) map[string][]canary.VersionReplicas {
+// versions returns the software versions of all services. For services with an order, replicas
+// in closed data centres don't count, since requests can't move to them. For the others they
+// do: a version whose data centre is closed for a time is still the one that serves.
+func (ro *Rollouts) versions(now time.Time, ordered map[string]bool, closed map[string]bool) map[string][]canary.VersionReplicas {
 	wall := time.Now()
 	out := map[string][]canary.VersionReplicas{}
 	ro.Replicas.WithPool(func(p *pool.Pool) {
 		p.ForEach(func(r pool.Replica) {
-			if r.Draining {
+			if r.Draining || ordered[r.Service] && closed[r.DataCentre] {
 				return
 			}
 			list := out[r.Service]
--- a/entry/rollouts/rollouts.go
+++ b/entry/rollouts/rollouts.go
@@ -72,7 +72,8 @@
 	canary canary.Canary
 	// known is true once Apply was called.
 	known bool
-	// order is the present order, nil if there is none, and seenAt when it was first seen.
+	// order is the present order, nil if there is none, and seenAt when its record was first
+	// seen. The canary tells whether that is a new attempt.
 	order  *adapter.RolloutOrder
 	seenAt time.Time
 	// recorded is the newest status that is known to be recorded.
@@ -130,9 +131,7 @@
 		case !ok && s.order != nil:
 			s.order, s.changed = nil, true
 		case ok && (s.order == nil || *s.order != order):
-			if s.order == nil || s.order.Target != order.Target {
-				s.seenAt = now
-			}
+			s.seenAt = now
 			if s.order, s.changed = &order, true; !ro.enabled() {
 				continue
 			}
@@ -239,7 +238,7 @@
 	if leads {
 		reachable = ro.Reachable()
 	}
-	versions := ro.versions(now)
+	versions := ro.versions(now, ro.ordered(), closedDataCentres(proven))
 	notify := false
 	ro.mu.Lock()
 	request := !ro.recordsKnown && now.Sub(ro.startedAt) > recordsWait
@@ -266,6 +265,24 @@
 	}
 }
 
+// ordered returns the services that have an order.
+func (ro *Rollouts) ordered() map[string]bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	out := map[string]bool{}
+	for name, s := range ro.services {
+		out[name] = s.order != nil
+	}
+	return out
+}
+
+func closedDataCentres(proven *topics.Proven) map[string]bool {
+	if proven.Intent == nil {
+		return nil
+	}
+	return proven.Intent.ClosedDataCentres
+}
+
 // apply passes the order and the recorded status to the canary if they have changed. The
 // caller holds the lock.
 func (ro *Rollouts) apply(now time.Time, s *service) {
