--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -356,13 +356,13 @@
 }
 
 // handleReady responds to the load balancer's readiness check. The instance is ready if
-// it is not leaving, has a configuration and has proved recently enough that the
-// configuration is current.
+// it is not leaving, has a configuration, has proved recently enough that the
+// configuration is current, and knows which software versions the rollouts allow.
 func (e *Edge) handleReady(w http.ResponseWriter, _ *http.Request) {
 	maxAge := time.Duration(readyProofAgeShare * float64(e.bounds.Bounds().Revoke))
 	proven := e.topics.Proven()
 	age, ok := proven.Age(e.now())
-	if e.leaving.Load() || proven.Intent == nil || !ok || age > maxAge {
+	if e.leaving.Load() || proven.Intent == nil || !ok || age > maxAge || !e.rollouts.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/edge/metrics.go
+++ b/entry/edge/metrics.go
@@ -49,6 +49,25 @@
 		blockedParts.Update(float64(e.crashes.BlockedParts(now)))
 		inFlight.Update(float64(e.relay.InFlight()))
 		sharers.Update(float64(e.retryBudgets.Instances()))
+		for _, s := range e.rollouts.Summaries(now) {
+			tagged := scope.Tagged(map[string]string{"service": s.Order.Service})
+			tagged.Gauge("rollout_share").Update(s.Share)
+			tagged.Gauge("rollout_phase").Update(float64(s.Phase))
+			counts := map[string][2]uint64{"old": {}, "target": {}}
+			for _, r := range s.Routes {
+				version := "old"
+				if r.Target {
+					version = "target"
+				}
+				n := counts[version]
+				counts[version] = [2]uint64{n[0] + r.Responses, n[1] + r.Failed + r.Lost + r.Slow}
+			}
+			for version, n := range counts {
+				side := tagged.Tagged(map[string]string{"version": version})
+				side.Gauge("rollout_requests").Update(float64(n[0]))
+				side.Gauge("rollout_bad").Update(float64(n[1]))
+			}
+		}
 		for service, left := range e.retryBudgets.Left() {
 			scope.Tagged(map[string]string{"service": service}).Gauge("retries_left").Update(left)
 		}
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -286,7 +286,7 @@
 	rs := c.relay.Replicas
 	var ungranted atomic.Bool
 	att := &attempt.Attempt{Guard: func(time.Time) error {
-		if !rs.MaySend(c.relay.Now(), pl) || !c.relay.Rollouts.MaySend(c.choice, pl.Software) {
+		if !rs.MaySend(c.relay.Now(), pl) || !c.relay.Rollouts.MaySend(c.relay.Now(), c.choice, pl.Software) {
 			ungranted.Store(true)
 			return errNotGranted
 		}
--- a/entry/rollouts/gossip.go
+++ b/entry/rollouts/gossip.go
@@ -46,6 +46,9 @@
 	}
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
+	if sentAt := now.Add(-transit); sentAt.After(ro.heardAt) {
+		ro.heardAt = sentAt
+	}
 	for _, r := range m.RolloutStatuses {
 		status := adapter.RolloutStatus{Service: r.Service, Status: canary.Status{
 			State: r.State, Target: r.Target, Position: topicview.Position{Era: r.Era, Offset: r.Offset}, Base: r.Base, Withdrawn: r.Withdrawn,
--- a/entry/rollouts/requests.go
+++ b/entry/rollouts/requests.go
@@ -87,7 +87,7 @@
 // MaySend reports whether the request of a choice may still be sent to a replica with a
 // software version. It is called right before that, since the rollout may have gone on while
 // the request waited.
-func (ro *Rollouts) MaySend(ch Choice, software string) bool {
+func (ro *Rollouts) MaySend(now time.Time, ch Choice, software string) bool {
 	if ch.any || !ro.enabled() {
 		return true
 	}
@@ -98,7 +98,11 @@
 		return false
 	}
 	isTarget := s.target != "" && software == s.target
+	mayTurnBad := s.phase == canary.Watching || s.phase == canary.Moving
 	switch {
+	case isTarget && mayTurnBad && ro.instances > 1 && now.Sub(ro.heardAt) > silentAfter:
+		// The others may have found the target bad meanwhile, as after a stop of this process.
+		return false
 	case isTarget && s.phase == canary.Withdrawn, !isTarget && slices.Contains(s.withdrawn, software):
 		return false
 	case ch.resumes:
--- a/entry/rollouts/rollouts.go
+++ b/entry/rollouts/rollouts.go
@@ -29,6 +29,10 @@
 	// recordsWait is how long a process that has just started waits for the recorded status
 	// from a peer before it requests the records of the log itself.
 	recordsWait = 500 * time.Millisecond
+	// silentAfter is how long after the last message of a peer was sent this instance no
+	// longer sends requests to a target that may turn out bad. Peers call each other every
+	// 160 to 400 ms (core/peering).
+	silentAfter = 2 * time.Second
 )
 
 // Rollouts has the rollouts of all services. It handles none while Bounds.ExposeShare is 0:
@@ -58,10 +62,14 @@
 	instances int
 	intent    *adapter.Intent
 	startedAt time.Time
+	// heardAt is when the newest message of a peer was sent.
+	heardAt time.Time
 	// recordsKnown is true once the recorded status of all services is known, from the log
 	// or from a peer.
 	recordsKnown bool
-	services     map[string]*service
+	// ready is true once the orders were applied to the services of the first intent.
+	ready    bool
+	services map[string]*service
 	// unknown has the services of orders that were logged as unknown.
 	unknown map[string]bool
 	writer  writer
@@ -108,6 +116,16 @@
 	wg.Wait()
 }
 
+// Ready reports whether the rules of all services are known, so that requests can be served.
+func (ro *Rollouts) Ready() bool {
+	if !ro.enabled() {
+		return true
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.ready
+}
+
 // SetInstances sets the number of known instances, this one included.
 func (ro *Rollouts) SetInstances(n int) {
 	ro.mu.Lock()
@@ -256,6 +274,7 @@
 			}) || notify
 		}
 	}
+	ro.ready = ro.ready || current
 	ro.mu.Unlock()
 	if request {
 		ro.Topics.RequestInstances()
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -40,6 +40,7 @@
 	{"status", "Show what is in force where", statusUsage, func(t *tool) flags.Commander { return &statusCommand{tool: t} }},
 	{"audit", "Show who changed what", auditUsage, func(t *tool) flags.Commander { return &auditCommand{tool: t} }},
 	{"why", "Show from logs what became of a request, and why", whyUsage, func(t *tool) flags.Commander { return &whyCommand{tool: t} }},
+	{"rollouts", "Show from logs how rollouts go, and why", rolloutsUsage, func(t *tool) flags.Commander { return &rolloutsCommand{tool: t} }},
 	{"explain", "Show how a request was decided", explainUsage, func(t *tool) flags.Commander { return &explainCommand{tool: t} }},
 }
 
--- a/operator/command/why.go
+++ b/operator/command/why.go
@@ -52,6 +52,8 @@
 	"prompt-part-crashes-replicas": {"Replicas ended again and again while they ran requests with one part of its prompt, at this instance or others; the part is in its line.", []string{"Counted an end of a replica against a request.", "A part of prompts that crashes replicas is blocked."}},
 	"stream-origin-unknown":        {"It resumes a stream, and no instance knows which software version began it.", []string{"Streams have several software versions, or one again.", "Sending the origins of streams failed."}},
 	"stream-service-moved":         {"It resumes a stream of a service to which its route no longer leads.", []string{"An intent is in force."}},
+	"rollouts-unknown":             {"Its instance did not know yet which software versions the rollout orders allow.", []string{"The instance serves.", "Lost the platform's log."}},
+	"version-unusable":             {"It resumes a stream that a software version began which was rolled back.", []string{"The phase of a rollout changed.", "Wrote the status of a rollout."}},
 	"instance-stops":               {"Its instance was stopping, and it might not have completed before the end of the grace period.", []string{"The instance is leaving."}},
 	"answer-lost":                  {"It was sent to a replica and no whole answer came; it may have run.", nil},
 	"timeout":                      {"The caller's or the route's timeout passed after it was sent to a replica; it may have run.", nil},
