Clear what staticcheck found in entry/rollouts

Cause: two findings of staticcheck, S1024 and SA4000 (a repeated call in a test). Change: time.Until, and one call in each condition. Evidence: staticcheck finds nothing in ./entry/rollouts, and its tests pass.

--- a/entry/rollouts/rollouts.go
+++ b/entry/rollouts/rollouts.go
@@ -313,7 +313,7 @@
 	age := now.Sub(s.seenAt)
 	if r := s.recorded; s.order != nil && !r.Deadline.IsZero() && r.Target == s.order.Target && r.State == canary.Serving {
 		// The recorded deadline shows how long ago other processes saw the order.
-		age = max(age, s.order.Duration-r.Deadline.Sub(time.Now()))
+		age = max(age, s.order.Duration-time.Until(r.Deadline))
 	}
 	s.canary.Apply(now, s.order, age, s.recorded.Status)
 	s.known, s.changed = true, false
--- a/entry/rollouts/rollouts_test.go
+++ b/entry/rollouts/rollouts_test.go
@@ -192,12 +192,20 @@
 	ro := newRollouts("n1", &now, &order)
 	ro.Log, ro.writer = l, writer{epoch: 7, confirmed: true}
 	status := write{status: adapter.RolloutStatus{Service: "s", Status: canary.Status{State: canary.Serving, Target: "v2"}}}
-	if !ro.put(t.Context(), status) || !ro.put(t.Context(), status) || ro.writer.seq != 2 {
+	for range 2 {
+		if !ro.put(t.Context(), status) {
+			t.Errorf("refused: tokens %v", l.tokens)
+		}
+	}
+	if ro.writer.seq != 2 {
 		t.Errorf("next number %d, tokens %v", ro.writer.seq, l.tokens)
 	}
 	expected = 3
-	if ro.put(t.Context(), status) || !ro.put(t.Context(), status) {
-		t.Errorf("tokens %v", l.tokens)
+	if ro.put(t.Context(), status) {
+		t.Errorf("a number that the log does not expect was taken: tokens %v", l.tokens)
+	}
+	if !ro.put(t.Context(), status) {
+		t.Errorf("the next number was refused: tokens %v", l.tokens)
 	}
 	l.refuse = func(adapter.FencingToken) error { return errors.New("status 503") }
 	if ro.put(t.Context(), status) || !ro.writer.notBefore.After(now) || ro.writer.seq != 4 {
