Send counts of a rollout only where they are needed

Change: ExportPart sends the counts of some processes, and what is usual for the old version travels on its own (Usual). Changes are kept in the order of time. A single faulty replica of the target is evened with the next worst one in place of being left out, which costs less evidence.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -272,7 +272,7 @@
 	}
 	a.report(now, c.Self, s)
 	if a.phase() < Done {
-		a.evidence.refresh()
+		a.evidence.refresh(now)
 		a.judge()
 	}
 	if s.Leader {
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -107,15 +107,16 @@
 	return key{cl.Route, cl.DataCentre, cl.Target, stage(cl.Stage), cl.Replica}
 }
 
-// entry is what one process has counted, with the time of the last change of each part by
-// this instance's clock.
+// entry is what one process has counted.
 type entry struct {
-	counts  Counts // without Cells and Losses
+	counts Counts // without Cells and Losses
+	// changed is when counts last changed other than by the requests sent.
 	changed time.Time
 	cells   map[key]*cellEntry
 	losses  map[uint32]*lossEntry
 }
 
+// cellEntry and lossEntry have the time of their last change by this instance's clock.
 type cellEntry struct {
 	Cell
 	changed time.Time
@@ -140,7 +141,9 @@
 	// of LongestMillis.
 	sent, unsent [2]uint64
 	longest      time.Duration
-	// version counts the changes.
+	// changes has what has changed, in the order of time.
+	changes []change
+	// version counts the changes of the sums.
 	version uint64
 }
 
@@ -149,7 +152,7 @@
 	if en == nil {
 		if e.processes == nil {
 			e.processes = map[Process]*entry{}
-			e.cells, e.losses, e.places = map[key]*Cell{}, map[uint32]*Loss{}, map[place]*times{}
+			e.cells, e.losses = map[key]*Cell{}, map[uint32]*Loss{}
 		}
 		en = &entry{counts: Counts{Process: p}, cells: map[key]*cellEntry{}, losses: map[uint32]*lossEntry{}}
 		e.processes[p] = en
@@ -231,9 +234,10 @@
 		en.losses[replica] = l
 	}
 	if l.first.IsZero() || now.Sub(l.first) >= lossWindow {
-		l.first, l.changed = now, now
+		l.first = now
 		l.Events++
 		e.mergeLoss(l.Loss)
+		e.changeLoss(now, en, l)
 	}
 }
 
@@ -250,7 +254,8 @@
 
 func (e *evidence) lengthen(now time.Time, en *entry, d time.Duration) {
 	if ms := uint32(min(max(d.Milliseconds(), 0), 1<<31)); ms > en.counts.LongestMillis {
-		en.counts.LongestMillis, en.changed = ms, now
+		en.counts.LongestMillis = ms
+		e.change(now, en)
 		e.longest = max(e.longest, d)
 	}
 }
@@ -264,7 +269,7 @@
 		en.cells[k] = ce
 	}
 	ce.add(&d)
-	ce.changed, en.changed = now, now
+	e.changeCell(now, en, ce)
 	e.sum(k, &d)
 }
 
--- a/core/canary/gossip.go
+++ b/core/canary/gossip.go
@@ -1,7 +1,6 @@
 package canary
 
 import (
-	"slices"
 	"time"
 
 	"crocusfold.dev/core/topicview"
@@ -32,6 +31,8 @@
 	// changed since the time that Export was asked for.
 	Reports []Report `cbor:"10,keyasint,omitempty"`
 	Counts  []Counts `cbor:"11,keyasint,omitempty"`
+	// Usual has what takes long at old replicas, where that has changed since then.
+	Usual []Usual `cbor:"12,keyasint,omitempty"`
 }
 
 // Decision is what a leader has decided. Of two decisions, that of the later phase counts;
@@ -77,6 +78,14 @@
 // Export returns the state to send to a peer that has all that was exported before
 // since; a zero since exports everything. It returns false if there is nothing to send.
 func (c *Canary) Export(now, since time.Time) (State, bool) {
+	return c.ExportPart(now, since, func(Process) bool { return true })
+}
+
+// ExportPart is Export with the reports and counts of those processes only that keep
+// selects. An instance of a large fleet sends its own to its parent in the overlay, those
+// that it aggregates to other roots, all to the leader, and none to its other children, which
+// learn the decisions and what is usual. That is some kilobytes a second at each root.
+func (c *Canary) ExportPart(now, since time.Time, keep func(Process) bool) (State, bool) {
 	st := State{Base: c.base, Ended: c.withdrawn}
 	a := c.attempt
 	if a == nil {
@@ -86,36 +95,15 @@
 	st.Decision, st.Bad, st.Why = a.decision, a.bad, a.why
 	st.Decision.Age = now.Sub(a.phaseStart)
 	for _, r := range a.reports {
-		if !r.changed.Before(since) {
+		if !r.changed.Before(since) && keep(r.Process) {
 			st.Reports = append(st.Reports, r.Report)
 		}
 	}
-	for _, en := range a.evidence.processes {
-		if !en.changed.Before(since) {
-			st.Counts = append(st.Counts, en.export(since))
-		}
-	}
+	st.Counts = a.evidence.export(since, keep)
+	st.Usual = a.evidence.usual(since)
 	return st, true
 }
 
-// export returns what has changed since a time.
-func (en *entry) export(since time.Time) Counts {
-	n := en.counts
-	for _, ce := range en.cells {
-		if !ce.changed.Before(since) {
-			cl := ce.Cell
-			cl.FirstEvent, cl.MeanGap = slices.Clone(cl.FirstEvent), slices.Clone(cl.MeanGap)
-			n.Cells = append(n.Cells, cl)
-		}
-	}
-	for _, l := range en.losses {
-		if !l.changed.Before(since) {
-			n.Losses = append(n.Losses, l.Loss)
-		}
-	}
-	return n
-}
-
 // Merge takes in the state of a peer, which may be old, repeated or from an earlier
 // rollout. transit is the time since the peer exported it, as far as known.
 func (c *Canary) Merge(now time.Time, st State, transit time.Duration) {
@@ -150,6 +138,9 @@
 			a.evidence.merge(now, n)
 		}
 	}
+	for _, u := range st.Usual {
+		a.evidence.mergeUsual(now, u)
+	}
 }
 
 // follow takes in a decision of a leader whose phase began at start.
@@ -200,96 +191,3 @@
 	c.restart(now, st.Began)
 	return true
 }
-
-// merge takes in the counts of a process. Of each number, the larger one holds.
-func (e *evidence) merge(now time.Time, n Counts) {
-	if len(e.processes) >= maxProcesses && e.processes[n.Process] == nil {
-		return
-	}
-	en := e.entry(n.Process)
-	own := &en.counts
-	changed := grow(&own.SentOld, n.SentOld, &e.sent[0])
-	changed = grow(&own.SentTarget, n.SentTarget, &e.sent[1]) || changed
-	changed = grow(&own.UnsentOld, n.UnsentOld, &e.unsent[0]) || changed
-	changed = grow(&own.UnsentTarget, n.UnsentTarget, &e.unsent[1]) || changed
-	if n.LongestMillis > own.LongestMillis {
-		own.LongestMillis, changed = n.LongestMillis, true
-		e.longest = max(e.longest, time.Duration(n.LongestMillis)*time.Millisecond)
-	}
-	for _, cl := range n.Cells {
-		changed = e.mergeCell(now, en, &cl) || changed
-	}
-	for _, l := range n.Losses {
-		old := en.losses[l.Replica]
-		if old == nil && len(en.losses) >= maxCells || old != nil && old.Events >= l.Events {
-			continue
-		}
-		en.losses[l.Replica] = &lossEntry{Loss: l, changed: now}
-		e.mergeLoss(l)
-		changed = true
-	}
-	if changed {
-		en.changed = now
-	}
-}
-
-func (e *evidence) mergeCell(now time.Time, en *entry, cl *Cell) bool {
-	k := cl.key()
-	old := en.cells[k]
-	if old == nil {
-		if len(en.cells) >= 2*maxCells {
-			return false
-		}
-		old = &cellEntry{Cell: Cell{Route: cl.Route, DataCentre: cl.DataCentre, Target: cl.Target, Stage: cl.Stage, Replica: cl.Replica}}
-		en.cells[k] = old
-	}
-	d := cl.growth(&old.Cell)
-	if d == nil {
-		return false
-	}
-	old.Cell.add(d)
-	old.changed = now
-	e.sum(k, d)
-	return true
-}
-
-// growth returns by how much the numbers of cl are over those of old, nil if none is.
-func (cl *Cell) growth(old *Cell) *Cell {
-	d, grown := &Cell{}, false
-	over := func(n, o uint32) uint32 {
-		if n <= o {
-			return 0
-		}
-		grown = true
-		return n - o
-	}
-	d.Responses = over(cl.Responses, old.Responses)
-	d.Failed, d.Lost = over(cl.Failed, old.Failed), over(cl.Lost, old.Lost)
-	d.Timed, d.Slow = over(cl.Timed, old.Timed), over(cl.Slow, old.Slow)
-	overBuckets := func(n, o []uint32) []uint32 {
-		out := make([]uint32, min(len(n), buckets))
-		for i := range out {
-			before := uint32(0)
-			if i < len(o) {
-				before = o[i]
-			}
-			out[i] = over(n[i], before)
-		}
-		return out
-	}
-	d.FirstEvent, d.MeanGap = overBuckets(cl.FirstEvent, old.FirstEvent), overBuckets(cl.MeanGap, old.MeanGap)
-	if !grown {
-		return nil
-	}
-	return d
-}
-
-// grow raises own to n, and the sum by as much.
-func grow(own *uint32, n uint32, sum *uint64) bool {
-	if n <= *own {
-		return false
-	}
-	*sum += uint64(n - *own)
-	*own = n
-	return true
-}
--- a/core/canary/times.go
+++ b/core/canary/times.go
@@ -37,18 +37,35 @@
 // place is where times are compared.
 type place struct{ route, dataCentre string }
 
+// Usual says which times are slow at one place, as found from the times of the old
+// version. Of two, the one from more times counts.
+type Usual struct {
+	Route      string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
+	// Times is the number of times that it was found from.
+	Times uint64 `cbor:"3,keyasint"`
+	// SlowFirst and SlowGap are the first buckets of slow times to the first event and
+	// between events, 0 if that is not known.
+	SlowFirst uint8 `cbor:"4,keyasint,omitempty"`
+	SlowGap   uint8 `cbor:"5,keyasint,omitempty"`
+}
+
 // times has the times of the old version at one place.
 type times struct {
 	firstEvent, meanGap  [buckets]uint64
 	firstTotal, gapTotal uint64
-	slowFirst, slowGap   int // the first slow bucket, 0 if not known
-	refreshedAt          uint64
+	usual                Usual
+	// changed is when usual last changed.
+	changed time.Time
 }
 
 func (e *evidence) timesAt(p place) *times {
 	t := e.places[p]
+	if e.places == nil {
+		e.places = map[place]*times{}
+	}
 	if t == nil {
-		t = &times{}
+		t = &times{usual: Usual{Route: p.route, DataCentre: p.dataCentre}}
 		e.places[p] = t
 	}
 	return t
@@ -85,8 +102,8 @@
 			d.FirstEvent = make([]uint32, b+1)
 			d.FirstEvent[b] = 1
 		}
-		timed = t.slowFirst > 0
-		slow = timed && b >= t.slowFirst+extra
+		timed = t.usual.SlowFirst > 0
+		slow = timed && b >= int(t.usual.SlowFirst)+extra
 	}
 	if o.MeanGap > 0 {
 		b := bucketOf(o.MeanGap)
@@ -94,8 +111,8 @@
 			d.MeanGap = make([]uint32, b+1)
 			d.MeanGap[b] = 1
 		}
-		timed = timed || t.slowGap > 0
-		slow = slow || t.slowGap > 0 && b >= t.slowGap+extra
+		timed = timed || t.usual.SlowGap > 0
+		slow = slow || t.usual.SlowGap > 0 && b >= int(t.usual.SlowGap)+extra
 	}
 	if timed {
 		d.Timed = 1
@@ -105,31 +122,60 @@
 	}
 }
 
-// refresh finds anew what is usual for the old version at each place.
-func (e *evidence) refresh() {
-	for _, t := range e.places {
-		if t.firstTotal+t.gapTotal == t.refreshedAt {
+// refresh finds anew what is usual for the old version at each place, once there are a
+// quarter more times.
+func (e *evidence) refresh(now time.Time) {
+	for p, t := range e.places {
+		total := t.firstTotal + t.gapTotal
+		if total < minTimes || total < t.usual.Times+t.usual.Times/4 {
 			continue
 		}
-		t.refreshedAt = t.firstTotal + t.gapTotal
-		t.slowGap = slowFrom(&t.meanGap, t.gapTotal, slowBuckets)
 		over := slowBuckets
 		if t.gapTotal > 0 {
 			over = slowFirstBuckets
 		}
-		t.slowFirst = slowFrom(&t.firstEvent, t.firstTotal, over)
+		u := Usual{p.route, p.dataCentre, total, slowFrom(&t.firstEvent, t.firstTotal, over), slowFrom(&t.meanGap, t.gapTotal, slowBuckets)}
+		if u.SlowFirst != t.usual.SlowFirst || u.SlowGap != t.usual.SlowGap {
+			t.changed = now
+		}
+		t.usual = u
+	}
+}
+
+// mergeUsual takes in what a peer has found. Malformed buckets are larger than any.
+func (e *evidence) mergeUsual(now time.Time, u Usual) {
+	p := place{u.Route, u.DataCentre}
+	if e.places[p] == nil && len(e.places) >= maxCells {
+		return
+	}
+	if t := e.timesAt(p); u.Times > t.usual.Times {
+		if u.SlowFirst != t.usual.SlowFirst || u.SlowGap != t.usual.SlowGap {
+			t.changed = now
+		}
+		t.usual = u
+	}
+}
+
+// usual returns what has changed since a time.
+func (e *evidence) usual(since time.Time) []Usual {
+	var out []Usual
+	for _, t := range e.places {
+		if t.usual.Times > 0 && !t.changed.Before(since) {
+			out = append(out, t.usual)
+		}
 	}
+	return out
 }
 
 // slowFrom returns the first bucket of slow times, 0 if it is not known.
-func slowFrom(times *[buckets]uint64, total uint64, over int) int {
+func slowFrom(times *[buckets]uint64, total uint64, over int) uint8 {
 	if total < minTimes {
 		return 0
 	}
 	limit, sum := uint64(math.Ceil(usualPart*float64(total))), uint64(0)
 	for i, n := range times {
 		if sum += n; sum >= limit {
-			return i + over
+			return uint8(i + over)
 		}
 	}
 	return 0
--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -67,9 +67,8 @@
 type findings struct {
 	version uint64
 	known   bool
-	// proof is the greatest log likelihood ratio of bad to good over all comparisons,
-	// without the worst replica of the target; doubt that with all replicas, less what
-	// one comparison must exceed.
+	// proof is the greatest log likelihood ratio of bad to good over all comparisons, with
+	// the worst replica of the target evened; doubt the same with it as it is.
 	proof, doubt float64
 	// tests is the number of comparisons.
 	tests float64
@@ -165,64 +164,59 @@
 	}
 }
 
-// worst returns the replica of the target with the most bad responses on a route (all if
-// empty), by one measure or all (measures). The number of replicas seen is the second
-// result.
-func (t *table) worst(route string, m measure) (replica uint32, seen int) {
+// evened returns the trials by stratum on a route (all if empty), with the bad responses of
+// the target's worst replica reduced to those of its next worst one, or to one: a single
+// faulty replica doesn't tell of the version. seen is the number of the target's replicas
+// that were tried.
+func (t *table) evened(route string, m measure) (out map[stratum]trials, seen int) {
+	out = t.all(route, m)
 	bad := map[uint32]float64{}
 	for _, d := range t.tried {
-		switch {
-		case route != "" && d.stratum.route != route:
-		case m == measures:
-			bad[d.replica] += d.bad[failures] + d.bad[slowness]
-		default:
+		if route == "" || d.stratum.route == route {
 			bad[d.replica] += d.bad[m]
 		}
 	}
-	most := -1.0
+	var worst uint32
+	most, next := -1.0, -1.0
 	for r, n := range bad {
-		if n > most || n == most && r < replica {
-			replica, most = r, n
+		if n > most || n == most && r < worst {
+			worst, most, next = r, n, most
+		} else {
+			next = max(next, n)
 		}
 	}
-	return replica, len(bad)
+	if limit := max(next, 1); !t.single && most > limit {
+		for _, d := range t.tried {
+			if tr, ok := out[d.stratum]; ok && d.replica == worst {
+				tr.bad[1] -= d.bad[m] * (1 - limit/most)
+				out[d.stratum] = tr
+			}
+		}
+	}
+	return out, len(bad)
 }
 
-// select returns the trials by stratum on a route (all if empty), without those of one
-// replica of the target if without is not 0.
-func (t *table) only(route string, m measure, without uint32) map[stratum]trials {
+// all returns the trials by stratum on a route (all if empty).
+func (t *table) all(route string, m measure) map[stratum]trials {
 	out := make(map[stratum]trials, len(t.strata))
 	for st, all := range t.strata {
 		if route == "" || st.route == route {
 			out[st] = all[m]
 		}
 	}
-	if without == 0 {
-		return out
-	}
-	for _, d := range t.tried {
-		if tr, ok := out[d.stratum]; ok && d.replica == without {
-			tr.n[1] -= d.n[m]
-			tr.bad[1] -= d.bad[m]
-			out[d.stratum] = tr
-		}
-	}
 	return out
 }
 
-// compare returns the evidence against the target on a route (all if empty), without the
-// worst replica and with all of them.
+// compare returns the evidence against the target on a route (all if empty), with its worst
+// replica evened and as it is.
 func (t *table) compare(route string, m measure) (proof, doubt float64, why string) {
-	all := summarize(t.only(route, m, 0))
+	all := summarize(t.all(route, m))
 	doubt = all.likelihood()
-	worst, seen := t.worst(route, m)
-	rest := all
-	if !t.single {
-		if seen < 2 {
-			return 0, doubt, ""
-		}
-		rest = summarize(t.only(route, m, worst))
+	evened, seen := t.evened(route, m)
+	if seen < 2 && !t.single {
+		return 0, doubt, ""
 	}
+	rest := summarize(evened)
 	excess := slowExcess
 	if m == failures {
 		excess = failureExcess
@@ -235,13 +229,12 @@
 
 // countRule reports whether the number of bad responses alone ends the rollout.
 func (t *table) countRule() (why string, bad bool) {
-	worst, seen := t.worst("", measures)
-	if t.single {
-		worst = 0
-	} else if seen < 2 {
+	bad1, seen := t.evened("", failures)
+	bad2, _ := t.evened("", slowness)
+	if seen < 2 && !t.single {
 		return "", false
 	}
-	f, s := summarize(t.only("", failures, worst)), summarize(t.only("", slowness, worst))
+	f, s := summarize(bad1), summarize(bad2)
 	n, expected := f.bad+s.bad, f.expected+s.expected
 	if n < countRule || n < minRatio*expected {
 		return "", false
@@ -252,15 +245,15 @@
 // compareAfterwards compares the responses since all requests go to the target with those
 // of the old version before.
 func (t *table) compareAfterwards() (why string, bad bool) {
-	worst, _ := t.worst("", failures)
+	all, _ := t.evened("", failures)
 	before, after := map[place]trials{}, map[stratum]trials{}
-	for st, tr := range t.only("", failures, worst) {
+	for st, tr := range all {
 		old := before[st.place]
 		old.n[0] += tr.n[0]
 		old.bad[0] += tr.bad[0]
 		before[st.place] = old
 	}
-	for st, tr := range t.only("", failures, worst) {
+	for st, tr := range all {
 		if st.stage == stageAll {
 			after[st] = trials{[2]float64{before[st.place].n[0], tr.n[1]}, [2]float64{before[st.place].bad[0], tr.bad[1]}}
 		}
