Send the counts of rollouts only where they are needed

Cause: each message to each peer had the counts of all instances. Change: an instance sends the counts of itself and of the instances that it aggregates for the peer, as with the work in flight; a child in the overlay gets counts only while it is the leader, and all of them in its first two seconds. Fleets of two levels are not tried here; the scripts have three instances.

--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -16,6 +16,10 @@
 // leaderStatusTTL is how long a status of the leader is relayed after it was sent.
 const leaderStatusTTL = 1500 * time.Millisecond
 
+// newLeaderTime is how long a peer that has become the leader gets all counts of rollouts, of
+// which it may have received few before. It spans several exchanges.
+const newLeaderTime = 2 * time.Second
+
 // exchange sends this instance's state to a peer and merges the state in the response.
 // It then requests the topic records that the peer has and this instance lacks.
 func (g *Gossip) exchange(ctx context.Context, c peering.PeerID) {
@@ -87,6 +91,9 @@
 		p.storePositions = nil
 	}
 	released := p.isLeader && !m.IsLeader
+	if m.IsLeader && !p.isLeader {
+		p.leaderSince = now
+	}
 	p.oldestFetched, p.isLeader = m.OldestFetched, m.IsLeader
 	counted, delay := g.peering.Counted(m.Address), g.peering.Delay(m.Address)
 	sentAt, newest, changed := g.receiveLeaderStatus(now, m.LeaderStatus)
@@ -179,9 +186,15 @@
 	m.ViewStates, m.ViewEras = g.Topics.ViewStates(now)
 	g.Crashes.FillGossip(now, &m, since)
 	g.Streams.FillGossip(now, &m)
-	g.Rollouts.FillGossip(now, &m, since)
 	g.mu.Lock()
 	names, oldestFetched := map[string]bool{}, [][]message.ModelVersion{}
+	toLeader, countsSince := false, since
+	if p, ok := g.peers[to]; ok && p.isLeader {
+		toLeader = true
+		if now.Sub(p.leaderSince) < newLeaderTime {
+			countsSince = time.Time{}
+		}
+	}
 	for _, aggregated := range g.peering.AggregatedFor(to, header.Relation) {
 		names[aggregated.Name] = true
 		if p, ok := g.peers[aggregated.Address]; ok {
@@ -190,6 +203,13 @@
 	}
 	g.mu.Unlock()
 	g.Replicas.FillGossip(now, &m, since, names)
+	g.Rollouts.FillGossip(now, &m, countsSince, func(instance string) bool {
+		if header.Relation == peering.Parent {
+			// A child learns the decisions, and needs the counts only to decide as the leader.
+			return toLeader
+		}
+		return instance == g.Self.Name || names[instance]
+	})
 	m.OldestFetched = mergeOldestFetched(append(oldestFetched, m.OldestFetched))
 	return m
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -117,8 +117,9 @@
 	// MergeGossip merges the rollouts in a message, which took transit longer than the fastest
 	// one of its sender. It reports whether a change must be sent on at once.
 	MergeGossip(now time.Time, m message.Gossip, transit time.Duration) (urgent bool)
-	// FillGossip adds the rollouts to a message, with what changed at or after the time since.
-	FillGossip(now time.Time, m *message.Gossip, since time.Time)
+	// FillGossip adds the rollouts to a message, with what changed at or after the time since
+	// and the counts of the instances that sendsCounts selects.
+	FillGossip(now time.Time, m *message.Gossip, since time.Time, sendsCounts func(instance string) bool)
 }
 
 // peer is what a peer last reported, apart from the state in peering.
@@ -129,6 +130,8 @@
 	// applied.
 	storePositions map[string]message.StorePosition
 	isLeader       bool
+	// leaderSince is when the peer last became the leader.
+	leaderSince time.Time
 }
 
 // Attach initialises the state and registers the handler for messages of peers. It must
--- a/entry/rollouts/gossip.go
+++ b/entry/rollouts/gossip.go
@@ -10,8 +10,8 @@
 )
 
 // FillGossip adds the rollouts to a message to a peer that has all changes before the time
-// since.
-func (ro *Rollouts) FillGossip(now time.Time, m *message.Gossip, since time.Time) {
+// since. Of the counts, it adds those of the instances that sendsCounts selects.
+func (ro *Rollouts) FillGossip(now time.Time, m *message.Gossip, since time.Time, sendsCounts func(instance string) bool) {
 	if !ro.enabled() {
 		return
 	}
@@ -32,7 +32,7 @@
 		if s.target == "" && s.versionsAt.Before(since) {
 			continue
 		}
-		if st, ok := s.canary.Export(now, since); ok {
+		if st, ok := s.canary.ExportPart(now, since, func(p canary.Process) bool { return sendsCounts(p.Instance) }); ok {
 			m.Rollouts = append(m.Rollouts, message.Rollout{Service: name, State: st})
 		}
 	}
--- a/entry/rollouts/rollouts_test.go
+++ b/entry/rollouts/rollouts_test.go
@@ -157,7 +157,7 @@
 	}})
 	sender.stepService(now)
 	var sent message.Gossip
-	sender.FillGossip(now, &sent, time.Time{})
+	sender.FillGossip(now, &sent, time.Time{}, func(string) bool { return true })
 	raw, err := message.Codec.Encode(sent)
 	if err != nil {
 		t.Fatal(err)
