Log failed writes of a status once, and send what ended only after a change

Cause: while the log is away, a line would be written each 200 ms; the status and the state of rollouts that have ended went with each message. Change: a failure is logged when it differs from the last one; what ended is sent to peers that don't have it.

--- a/entry/rollouts/gossip.go
+++ b/entry/rollouts/gossip.go
@@ -19,7 +19,7 @@
 	defer ro.mu.Unlock()
 	m.RolloutsKnown = ro.recordsKnown
 	for name, s := range ro.services {
-		if r := s.recorded; r.State != "" {
+		if r := s.recorded; r.State != "" && !s.recordedAt.Before(since) {
 			status := message.RolloutStatus{
 				Service: name, State: r.State, Target: r.Target, Era: r.Position.Era, Offset: r.Position.Offset,
 				Base: r.Base, Withdrawn: r.Withdrawn,
@@ -29,7 +29,8 @@
 			}
 			m.RolloutStatuses = append(m.RolloutStatuses, status)
 		}
-		if s.target == "" && s.versionsAt.Before(since) {
+		ended := s.target == "" || s.phase == canary.Done || s.phase == canary.Withdrawn
+		if ended && s.versionsAt.Before(since) && s.phaseAt.Before(since) {
 			continue
 		}
 		if st, ok := s.canary.ExportPart(now, since, func(p canary.Process) bool { return sendsCounts(p.Instance) }); ok {
--- a/entry/rollouts/rollouts.go
+++ b/entry/rollouts/rollouts.go
@@ -84,15 +84,17 @@
 	// seen. The canary tells whether that is a new attempt.
 	order  *adapter.RolloutOrder
 	seenAt time.Time
-	// recorded is the newest status that is known to be recorded.
-	recorded adapter.RolloutStatus
+	// recorded is the newest status that is known to be recorded, since recordedAt.
+	recorded   adapter.RolloutStatus
+	recordedAt time.Time
 	// changed is true if order or recorded has changed since the last Apply.
 	changed bool
 	// rewrite is true if the log may have lost the recorded status.
 	rewrite bool
-	// phase, target, base and withdrawn are those of the canary after its latest change. base
-	// or withdrawn last changed at versionsAt.
+	// phase, target, base and withdrawn are those of the canary after its latest change. The
+	// phase began at phaseAt; base or withdrawn last changed at versionsAt.
 	phase        canary.Phase
+	phaseAt      time.Time
 	target, base string
 	withdrawn    []string
 	versionsAt   time.Time
@@ -219,7 +221,7 @@
 	if !newer(s.recorded.Status, status.Status) {
 		return
 	}
-	s.recorded, s.changed = status, true
+	s.recorded, s.recordedAt, s.changed = status, ro.Now(), true
 }
 
 // newer reports whether a status replaces a known one: its order is a later one, or it ends
@@ -334,6 +336,9 @@
 func (ro *Rollouts) observePhase(now time.Time, s *service) bool {
 	sum := s.canary.Summary(now)
 	changed := sum.Phase != s.phase
+	if changed {
+		s.phaseAt = now
+	}
 	s.phase, s.target = sum.Phase, sum.Order.Target
 	// The state without the evidence, of which nothing has changed since the future.
 	if st, _ := s.canary.Export(now, now.Add(time.Hour)); st.Base != s.base || !slices.Equal(st.Ended, s.withdrawn) {
--- a/entry/rollouts/write.go
+++ b/entry/rollouts/write.go
@@ -30,6 +30,8 @@
 	// confirmed is true once the recorded status was read in this epoch.
 	confirmed bool
 	notBefore time.Time
+	// failure is the error of the last write, empty if it succeeded.
+	failure string
 }
 
 // write is one status to write.
@@ -128,13 +130,12 @@
 	err = ro.Log.PutFenced(ctx, key, value, token)
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	_ = ro.Logger.Log("msg", "Wrote the status of a rollout.", "service", w.status.Service, "target", w.status.Target, "state", w.status.State,
-		"why", w.why, "epoch", token.Epoch, "seq", token.Seq, "err", err)
+	ro.logWrite(w, token, err)
 	switch {
 	case err == nil:
 		ro.writer.seq = token.Seq + 1
 		s := ro.service(w.status.Service)
-		s.recorded, s.changed, s.rewrite = w.status, true, false
+		s.recorded, s.recordedAt, s.changed, s.rewrite = w.status, ro.Now(), true, false
 		return true
 	case errors.Is(err, adapter.ErrSequence):
 		// An earlier write may have been applied although it seemed to fail.
@@ -146,3 +147,20 @@
 	}
 	return false
 }
+
+// logWrite logs a write that succeeded, or a failure that differs from the last one: while the
+// log does not respond, each attempt fails in the same way. The caller holds the lock.
+func (ro *Rollouts) logWrite(w write, token adapter.FencingToken, err error) {
+	if err == nil {
+		ro.writer.failure = ""
+		_ = ro.Logger.Log("msg", "Wrote the status of a rollout.", "service", w.status.Service, "target", w.status.Target, "state", w.status.State,
+			"why", w.why, "epoch", token.Epoch, "seq", token.Seq)
+		return
+	}
+	if err.Error() == ro.writer.failure {
+		return
+	}
+	ro.writer.failure = err.Error()
+	_ = ro.Logger.Log("msg", "Writing the status of a rollout failed.", "service", w.status.Service, "target", w.status.Target, "state", w.status.State,
+		"epoch", token.Epoch, "seq", token.Seq, "err", err)
+}
--- a/operator/command/rollouts.go
+++ b/operator/command/rollouts.go
@@ -93,7 +93,7 @@
 		}
 		r.instances[f["instance"]] = f["phase"]
 	case "Wrote the status of a rollout.":
-		if f["err"] == "null" && later(r.written) {
+		if later(r.written) {
 			r.written = f
 		}
 	}
