--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -63,6 +63,8 @@
 	Streams Streams
 	// Waiting merges and provides what waits for replicas.
 	Waiting Waiting
+	// Rollouts merges and provides the rollouts of software versions.
+	Rollouts Rollouts
 
 	mu      sync.Mutex
 	peering peering.Peering
@@ -126,6 +128,16 @@
 	DropPeers(names []string)
 }
 
+// Rollouts is the state of the rollouts of software versions.
+type Rollouts interface {
+	// MergeGossip merges the rollouts in a message, which took transit longer than the fastest
+	// one of its sender. It reports whether a change must be sent on at once.
+	MergeGossip(now time.Time, m message.Gossip, transit time.Duration) (urgent bool)
+	// FillGossip adds the rollouts to a message, with what changed at or after the time since
+	// and the counts of the instances that sendsCounts selects.
+	FillGossip(now time.Time, m *message.Gossip, since time.Time, sendsCounts func(instance string) bool)
+}
+
 // peer is what a peer last reported, apart from the state in peering.
 type peer struct {
 	// oldestFetched is the OldestFetched of its last message.
@@ -134,6 +146,8 @@
 	// applied.
 	storePositions map[string]message.StorePosition
 	isLeader       bool
+	// leaderSince is when the peer last became the leader.
+	leaderSince time.Time
 }
 
 // Attach initialises the state and registers the handler for messages of peers. It must
@@ -327,6 +341,13 @@
 	return g.peering.Rank(now)
 }
 
+// AliveNames returns the names of the other members that are believed to be alive.
+func (g *Gossip) AliveNames() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peering.AliveNames()
+}
+
 // OverlayState returns this instance's place in the overlay and the number of other
 // members that are believed to be alive, for the metrics.
 func (g *Gossip) OverlayState() (place peering.Place, alive int) {
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crocusfold.dev/core/canary"
 	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/quarantine"
 )
@@ -61,6 +62,31 @@
 	// Waiting has what waits for the replicas of each service at the instances that Loads
 	// covers.
 	Waiting []ServiceWaiting `cbor:"52,keyasint,omitempty"`
+	// Rollouts has the rollouts of software versions that the sender knows, with the evidence
+	// of all instances that it has heard of.
+	Rollouts []Rollout `cbor:"48,keyasint,omitempty"`
+	// RolloutStatuses has the newest recorded status of rollouts. RolloutsKnown is true if it
+	// is complete.
+	RolloutStatuses []RolloutStatus `cbor:"49,keyasint,omitempty"`
+	RolloutsKnown   bool            `cbor:"50,keyasint,omitempty"`
+}
+
+// Rollout is the state of the rollout of a service.
+type Rollout struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	State   canary.State
+}
+
+// RolloutStatus is the recorded status of a rollout; see canary.Status. Era and Offset are
+// its position, and DeadlineMillis is the Unix time of its deadline, 0 if it is not known.
+type RolloutStatus struct {
+	_                      struct{} `cbor:",toarray"`
+	Service, State, Target string
+	Era, Offset            uint64
+	Base                   string
+	Withdrawn              []string
+	DeadlineMillis         int64
 }
 
 // ServiceWaiting is the number of requests that wait for a service, and the sum of their sizes
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusfold.dev/core/attempt"
+	"crocusfold.dev/core/canary"
 	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
@@ -55,6 +56,9 @@
 	pool.Full:      400 * time.Millisecond,
 	pool.Limited:   400 * time.Millisecond,
 	pool.Erring:    400 * time.Millisecond,
+
+	rolloutsUnknown: 300 * time.Millisecond,
+	versionUnusable: withdrawnRetry,
 }
 
 // Failures of one attempt.
@@ -94,14 +98,16 @@
 			return ref
 		}
 		if ref := c.checkBreaker(); ref != nil {
-			c.endPlacement(pl)
+			c.releasePlacement(pl)
 			return ref
 		}
 		c.summary.attempts++
+		c.relay.Rollouts.Began(c.choice, pl.Software)
 		done, runState, err := c.attempt(pl)
 		if done {
 			c.observeEnd(pl)
 		}
+		c.relay.Rollouts.Ended(c.choice, pl.Software)
 		c.endPlacement(pl)
 		if done {
 			return nil
@@ -198,9 +204,9 @@
 	req := c.placementRequest()
 	for asked := 0; ; {
 		now := c.relay.Now()
-		pl, ref := c.relay.Replicas.Place(now, req)
+		pl, ref := c.placeAllowed(now, req)
 		if pl != nil && pl.Limited && !c.acquireGrant(pl, req.Priority) {
-			c.relay.Replicas.End(pl)
+			c.releasePlacement(pl)
 			if asked++; asked%maxGrantRequests != 0 && c.ctx.Err() == nil {
 				continue
 			}
@@ -211,6 +217,9 @@
 			c.recordPlacement(now, pl)
 			return pl, nil
 		}
+		if reason == versionUnusable {
+			return nil, c.versionRefusal()
+		}
 		if now.Sub(c.began)+ref.Wait > wait || reason == pool.NoReplica || reason == pool.TooLate {
 			if c.policy.Runs() > 0 {
 				return nil, c.responseLost()
@@ -295,7 +304,7 @@
 	rs := c.relay.Replicas
 	var ungranted atomic.Bool
 	att := &attempt.Attempt{Guard: func(time.Time) error {
-		if !rs.MaySend(c.relay.Now(), pl) {
+		if !rs.MaySend(c.relay.Now(), pl) || !c.relay.Rollouts.MaySend(c.relay.Now(), c.choice, pl.Software) {
 			ungranted.Store(true)
 			return errNotGranted
 		}
@@ -312,10 +321,17 @@
 	if err != nil {
 		// A later write would contradict the run state that is reported from here on.
 		att.Revoke()
+		if att.RunState() == attempt.NotRun {
+			// Nothing was written, so no replica got the request.
+			c.relay.Rollouts.Unsent(now, c.choice)
+		}
 		if ungranted.Load() {
 			return false, att.RunState(), errNotGranted
 		}
 		mayHaveRun := att.RunState() != attempt.NotRun
+		if mayHaveRun {
+			c.recordLost(now, pl, sentAt, time.Time{})
+		}
 		switch {
 		case c.ctx.Err() != nil && mayHaveRun:
 			c.relay.Crashes.recordPending(now, c.run(pl, sentAt))
@@ -336,6 +352,9 @@
 	if err == nil && respInfo.Succeeded {
 		err = c.checkSoftware(pl)
 	}
+	if err != nil && !errors.Is(err, errRefused) {
+		c.recordOutcome(now, pl, canary.Outcome{Failed: true, FirstEvent: now.Sub(sentAt)})
+	}
 	if err != nil {
 		_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "status", resp.StatusCode, "handed-on", c.summary.timeLeft.Round(time.Millisecond), "err", err)
 		c.relay.Metrics.countFailedAttempt(pl.Service, failureName(err))
--- a/entry/relay/queued.go
+++ b/entry/relay/queued.go
@@ -47,7 +47,7 @@
 			return nil, ref
 		}
 		if pl.Limited && !c.acquireGrant(pl, c.priority()) {
-			c.endPlacement(pl)
+			c.releasePlacement(pl)
 			continue
 		}
 		c.recordPlacement(c.relay.Now(), pl)
@@ -92,7 +92,7 @@
 			w.mu.Unlock()
 			return nil, notRun(codeStopping, stoppingRetry)
 		}
-		if ref.Reason == pool.NoReplica || ref.Reason == pool.TooLate || now.Add(ref.Wait).After(it.GiveUp) {
+		if final(ref.Reason) || now.Add(ref.Wait).After(it.GiveUp) {
 			defer w.mu.Unlock()
 			return nil, w.refuse(now, c, it, ref)
 		}
@@ -291,3 +291,8 @@
 	average(&w.times(c.route.Name).whole, took)
 	w.queue.Finished(c.service.Name, sizeOf(pl), took)
 }
+
+// final reports whether waiting does not help a request that was not placed.
+func final(reason pool.Reason) bool {
+	return reason == pool.NoReplica || reason == pool.TooLate || reason == versionUnusable
+}
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -71,6 +71,7 @@
 	defer copyBuffers.Put(buf)
 	c.answered = false
 	var firstEvent time.Time
+	var pace eventPace
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
@@ -80,6 +81,7 @@
 				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
 				firstEvent = c.observeEvents(firstEvent)
 				c.observeTimes(pl)
+				pace.observe(c.relay.Now(), c.summary.events)
 			}
 			werr := c.write(buf[:n], flush)
 			c.times.written(c.relay.Now)
@@ -95,6 +97,7 @@
 			c.summary.outcome = "ok"
 			c.observeComplete(pl)
 			c.recordCompleted(pl, resp.StatusCode)
+			c.recordVersionOutcome(pl, sentAt, resp.StatusCode, stream, pace)
 			// A replica may return an error without running the request, so only a status
 			// below 300 counts as a successful run.
 			if resp.StatusCode < http.StatusMultipleChoices {
@@ -103,6 +106,7 @@
 			return true
 		}
 		if err != nil {
+			c.recordLost(c.relay.Now(), pl, sentAt, pace.first)
 			c.abortResponse(pl, "answer-broke-off", true, sentAt)
 			return false
 		}
--- a/entry/relay/waiting.go
+++ b/entry/relay/waiting.go
@@ -236,7 +236,7 @@
 			w.queue.Started(now, it.ID)
 			w.end(wt, outcome{placement: pl})
 			continue
-		case ref.Reason == pool.NoReplica || ref.Reason == pool.TooLate:
+		case final(ref.Reason):
 			w.end(wt, outcome{refusal: w.refuse(now, wt.call, it, ref)})
 			continue
 		case ref.Reason == pool.Full && !wt.call.restricted():
@@ -276,7 +276,7 @@
 	if !w.queue.RecoveryAllows(now, it) {
 		return nil, replicas.Refusal{Reason: pool.Full}
 	}
-	pl, ref := w.relay.Replicas.Place(now, req)
+	pl, ref := c.placeAllowed(now, req)
 	w.observeAvailable(now, it.Service, req.Memory, pl != nil, ref.Reason)
 	return pl, ref
 }
--- a/entry/topics/schedule.go
+++ b/entry/topics/schedule.go
@@ -1,6 +1,7 @@
 package topics
 
 import (
+	"context"
 	"time"
 
 	"crocusfold.dev/entry/adapter"
@@ -38,11 +39,16 @@
 	defer t.mu.Unlock()
 	wait := readWaits[topic]
 	if topic == adapter.Operations && !t.restore.covers(t.views[topic].Proof()) {
-		wait = min(wait, t.restore.settlesIn(now))
+		// Reads wait for whole milliseconds. A shorter wait would be none, so that reads follow
+		// one another without a pause until the time is over.
+		wait = min(wait, roundUp(t.restore.settlesIn(now), time.Millisecond))
 	}
 	return wait
 }
 
+// roundUp returns d as a multiple of unit, rounded up.
+func roundUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit * unit }
+
 // RequestInstances makes this instance read the list of instances once, even if it is
 // not a reader.
 func (t *Topics) RequestInstances() {
@@ -51,6 +57,12 @@
 	t.instancesRequested = true
 }
 
+// ReadInstances reads the list of instances to its end. It returns an error if this instance
+// can't reach the log.
+func (t *Topics) ReadInstances(ctx context.Context) error {
+	return t.read(ctx, adapter.Instances, t.Now(), 0)
+}
+
 // pause returns the time until shouldRead is to be called again for a topic.
 func (t *Topics) pause(topic adapter.Topic) time.Duration {
 	now := t.Now()
