Refuse early only what could not be served before it is given up

Cause: the queue refused on arrival what it did not expect to place within the target, also where it would have been served later. Change: the expected wait is compared with the time until the request is given up.

--- a/core/waitqueue/estimate.go
+++ b/core/waitqueue/estimate.go
@@ -170,13 +170,14 @@
 }
 
 // hopeless reports whether a request that is expected to wait for a time can't be placed
-// before it is given up.
+// before it is given up. One that would be late but be served is not hopeless: most of the
+// refused ones come back later for the same capacity.
 func (s *service) hopeless(now time.Time, it Item, wait time.Duration) bool {
 	factor := returnedFactor
 	if !it.Returned {
 		factor = s.kind(kindKey{it.Kind, sizeClass(it.Size)}).share()
 	}
-	return wait.Seconds() > factor*max(0, it.StartBy.Sub(now).Seconds())
+	return wait.Seconds() > factor*max(0, it.GiveUp.Sub(now).Seconds())
 }
 
 // share returns the learned part of the time that a request may wait within which it must be
