Use the wait queue only where the settings have waitQueue

Change: a setting of the instance turns it on; the default is off. The choice of another replica after an error, which idempotent requests need, does not depend on it. Measured: the tests of entry/relay pass with and without it.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -202,6 +202,7 @@
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas, Control: platform.Control,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
 		Limits: e.limits, Streams: e.streams, Rollouts: e.rollouts, NotifyPeers: e.gossip.NotifyPeers,
+		Queue: cfg.Queue,
 	}
 	e.gossip.Waiting = e.relay.Waiting()
 	e.replicas.OnChange = func(now time.Time, r pool.Replica) {
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -69,7 +69,10 @@
 	// of a replica takes the whole response into account. If not, that depends on what the
 	// replicas of a service state.
 	Contended bool
-	Bounds    Bounds
+	// Queue is true if requests that compete for replicas wait in an ordered queue. Otherwise
+	// each waits on its own.
+	Queue  bool
+	Bounds Bounds
 }
 
 // LiveBounds holds the bounds in force, which change when the settings are reloaded. All
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -124,7 +124,7 @@
 // response came on conn.
 func (c *call) checkResponse(now time.Time, pl *replicas.Placement, resp *http.Response, info adapter.ResponseInfo, conn *connUse) error {
 	rs := c.relay.Replicas
-	if c.route.Kind == route.Idempotent && !info.Refused && c.queued {
+	if c.route.Kind == route.Idempotent && !info.Refused && c.contended {
 		rs.WithPool(func(p *pool.Pool) {
 			p.IdempotentResponse(now, pl.ID, resp.StatusCode >= http.StatusInternalServerError)
 		})
--- a/entry/relay/fleet_test.go
+++ b/entry/relay/fleet_test.go
@@ -166,7 +166,7 @@
 	rs.SetContended(queue)
 	return &Relay{
 		Bounds: &bounds, Dialect: plainDialect{}, Topics: tp, Replicas: rs, Budgets: &retry.Budgets{Share: 0.2, Slack: 100}, Now: time.Now,
-		Logger: log.NewNopLogger(), Metrics: NewMetrics(tally.NoopScope), Crashes: NewCrashes(1), NotifyPeers: func() {},
+		Logger: log.NewNopLogger(), Metrics: NewMetrics(tally.NoopScope), Crashes: NewCrashes(1), NotifyPeers: func() {}, Queue: queue,
 	}
 }
 
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -91,7 +91,8 @@
 // forward sends the request to one replica after the other until one responds. It
 // returns nil if the caller has received a response, and otherwise the refusal to send.
 func (c *call) forward() *refusal {
-	c.queued = c.relay.queues(c.service.Name)
+	c.contended = c.relay.Replicas.Contended(c.service.Name)
+	c.queued = c.contended && c.relay.Queue
 	for {
 		pl, ref := c.place()
 		if ref != nil {
@@ -277,7 +278,7 @@
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
 	}}
 	c.boundAnswer(&req)
-	if c.queued {
+	if c.contended {
 		req.Idempotent, req.AvoidErring = c.route.Kind == route.Idempotent, c.hadError
 	}
 	if c.service.Engine == nil || c.info.Model == "" {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -65,6 +65,9 @@
 	Crashes  *Crashes
 	// NotifyPeers starts exchanges with peers, so that a change spreads quickly.
 	NotifyPeers func()
+	// Queue is true if requests that compete for replicas wait in an ordered queue. Otherwise
+	// each waits on its own.
+	Queue bool
 
 	waitingOnce sync.Once
 	waiting     *Waiting
@@ -132,8 +135,9 @@
 	// returned is true if the caller seems to come back after a refusal, and arrived true once
 	// that was looked up.
 	returned, arrived bool
-	// queued is true if the request waits in the queue when no replica has room.
-	queued bool
+	// contended is true if requests of the service compete for replicas, and queued if the
+	// request waits in the queue when no replica has room.
+	contended, queued bool
 	// responded is true once the response of the current attempt has begun.
 	responded bool
 	// hadError is true if the last attempt had an error of the replica as response.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -113,12 +113,12 @@
 	}
 }
 
-// recordCompleted records that a response of a replica was passed on completely. Where the queue
-// is used, an error does not lower the failure rate of its replica.
+// recordCompleted records that a response of a replica was passed on completely. Where
+// requests compete for replicas, an error does not lower the failure rate of its replica.
 func (c *call) recordCompleted(pl *replicas.Placement, status int) {
 	c.relay.Replicas.WithPool(func(p *pool.Pool) {
 		switch {
-		case !c.queued:
+		case !c.contended:
 			p.Succeeded(pl.ID)
 		case status >= http.StatusInternalServerError:
 			p.CompletedError(pl.ID)
--- a/entry/relay/waiting.go
+++ b/entry/relay/waiting.go
@@ -97,10 +97,6 @@
 	return rl.waiting
 }
 
-// queues reports whether the requests of a service wait in the queue: those that compete for
-// replicas do. Each of the others waits on its own.
-func (rl *Relay) queues(service string) bool { return rl.Replicas.Contended(service) }
-
 // SetInstances sets the number of instances.
 func (w *Waiting) SetInstances(n int) {
 	w.mu.Lock()
