--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -57,8 +57,11 @@
 	// began and guessed are as in State.
 	began   topicview.Position
 	guessed bool
-	// rejoined is true if this process found the rollout under way.
-	rejoined bool
+	// rejoined is true if this process found the rollout under way, and heard once a peer
+	// has told of it.
+	rejoined, heard bool
+	// joined is when this process learned of the attempt.
+	joined time.Time
 	// start is when an instance first saw the order, by this instance's clock.
 	start time.Time
 
@@ -113,7 +116,7 @@
 
 // Apply takes in the present order of the service, nil if there is none, as the proven
 // view of the operators' records has it, and the recorded status. age is the time since
-// the order was first seen, as far as this instance knows. Call it once both views are
+// the order was first seen or written, as far as this instance knows. Call it once both views are
 // proven, and after each change of either; repeated calls do no harm.
 func (c *Canary) Apply(now time.Time, order *Order, age time.Duration, recorded Status) {
 	if !c.known || !sameStatus(recorded, c.recorded) {
@@ -189,7 +192,7 @@
 // begin begins an attempt at an order.
 func (c *Canary) begin(now time.Time, order Order, age time.Duration) {
 	c.rollouts++
-	a := &attempt{order: order, began: order.Position, guessed: true, start: now.Add(-max(age, 0)),
+	a := &attempt{order: order, began: order.Position, guessed: true, start: now.Add(-max(age, 0)), joined: now,
 		decision: Decision{Phase: Watching}, phaseStart: now, reports: map[Process]*reportEntry{}}
 	if c.recorded.Target == order.Target {
 		switch {
@@ -242,6 +245,15 @@
 	}
 	if st.State == Completed || st.State == RolledBack && covers(st.Position, a.began) {
 		a.final = st.State
+		a.evidence.conclude()
+	}
+}
+
+// recover takes the start of the rollout from the status if no peer has told of it, as
+// after the loss of all instances.
+func (a *attempt) recover(now time.Time, st Status) {
+	if a.rejoined && !a.heard && st.Target == a.order.Target && !st.Start.IsZero() && now.Sub(a.joined) >= silentAfter && st.Start.Before(a.start) {
+		a.start = st.Start
 	}
 }
 
@@ -270,6 +282,7 @@
 	if a == nil {
 		return
 	}
+	a.recover(now, c.recorded)
 	a.report(now, c.Self, s)
 	if a.phase() < Done {
 		a.evidence.refresh(now)
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -152,6 +152,8 @@
 	if en == nil {
 		if e.processes == nil {
 			e.processes = map[Process]*entry{}
+		}
+		if e.cells == nil {
 			e.cells, e.losses = map[key]*Cell{}, map[uint32]*Loss{}
 		}
 		en = &entry{counts: Counts{Process: p}, cells: map[key]*cellEntry{}, losses: map[uint32]*lossEntry{}}
@@ -173,6 +175,9 @@
 	e.sent[0]++
 }
 
+// conclude keeps the sums only, as the evidence is no longer needed.
+func (e *evidence) conclude() { e.processes, e.changes = nil, nil }
+
 func (e *evidence) countUnsent(self Process, target bool) {
 	n := &e.entry(self).counts
 	if target {
@@ -194,7 +199,7 @@
 
 func (c *Canary) record(now time.Time, o Outcome, ended bool) {
 	a := c.attempt
-	if a == nil || o.Rollout>>stageBits != c.rollouts {
+	if a == nil || o.Rollout>>stageBits != c.rollouts || a.phase() >= Done {
 		return
 	}
 	e := &a.evidence
--- a/core/canary/exposure.go
+++ b/core/canary/exposure.go
@@ -59,6 +59,9 @@
 	if !c.known || a == nil || phase == Withdrawn {
 		return c.chooseOld(phase, stageNone)
 	}
+	if phase == Settling && c.isolated(now) && a.exposure.bad >= minFailures && a.oldReplicas > 0 {
+		return c.chooseOld(phase, stageNone)
+	}
 	l := a.loadAt(now, c.Bounds)
 	a.exposure.balance += c.Bounds.Share
 	due := a.exposure.dueOf(route, c.Self, a.began.Offset)
@@ -127,7 +130,9 @@
 		a.exposure.balance++
 		a.exposure.sent--
 	}
-	a.evidence.countUnsent(c.Self, ch.Target)
+	if a.phase() < Done {
+		a.evidence.countUnsent(c.Self, ch.Target)
+	}
 }
 
 // mayExpose reports whether this instance may send one more request to a target that may
@@ -142,18 +147,27 @@
 	if e.balance-1 < -debt {
 		return false
 	}
-	if instances > 1 {
-		silent := now.Sub(c.heard)
-		return silent < silentAfter && (silent < silentAfter/4 || float64(e.bad) < max(badResponses/instances, 1))
+	limit := silentAfter
+	if part := time.Duration(silentPart * float64(c.Bounds.Rollback)); part > 0 {
+		limit = min(limit, part)
 	}
-	return true
+	return instances == 1 || now.Sub(c.heard) < limit && !c.isolated(now)
+}
+
+// isolated reports whether this instance has heard no peer for a while and has had its part
+// of the bad responses that end a rollout.
+func (c *Canary) isolated(now time.Time) bool {
+	instances := float64(max(c.Bounds.Instances, 1))
+	return instances > 1 && now.Sub(c.heard) >= silentAfter/4 && float64(c.attempt.exposure.bad) >= max(badResponses/instances, 1)
 }
 
 func (c *Canary) chooseTarget(l load) Choice {
 	a := c.attempt
 	a.exposure.balance--
 	a.exposure.sent++
-	a.evidence.countSent(c.Self, true)
+	if a.phase() < Done {
+		a.evidence.countSent(c.Self, true)
+	}
 	return Choice{Allowed: true, Versions: Versions{Only: a.order.Target}, Target: true, Replicas: l.replicas, Rollout: c.rolloutOf(l.stage)}
 }
 
@@ -174,6 +188,8 @@
 	}
 	if phase != Idle {
 		ch.Rollout = c.rolloutOf(st)
+	}
+	if phase != Idle && phase < Done {
 		c.attempt.evidence.countSent(c.Self, false)
 	}
 	return ch
--- a/core/canary/gossip.go
+++ b/core/canary/gossip.go
@@ -94,6 +94,9 @@
 	st.Order, st.Began, st.Guessed, st.Age = a.order, a.began, a.guessed, now.Sub(a.start)
 	st.Decision, st.Bad, st.Why = a.decision, a.bad, a.why
 	st.Decision.Age = now.Sub(a.phaseStart)
+	if a.phase() >= Done {
+		return st, true
+	}
 	for _, r := range a.reports {
 		if !r.changed.Before(since) && keep(r.Process) {
 			st.Reports = append(st.Reports, r.Report)
@@ -120,7 +123,7 @@
 		return
 	}
 	a = c.attempt
-	c.heard, a.exposure.bad = now, 0
+	c.heard, a.heard, a.exposure.bad = now, true, 0
 	if begun := now.Add(-st.Age - transit); begun.Before(a.start) {
 		a.start = begun
 	}
@@ -128,6 +131,9 @@
 		a.bad, a.why = true, st.Why
 	}
 	a.follow(st.Decision, now.Add(-st.Decision.Age-transit))
+	if a.phase() >= Done {
+		return
+	}
 	for _, r := range st.Reports {
 		if old := a.reports[r.Process]; r.Process != c.Self && (old == nil && len(a.reports) < maxProcesses || old != nil && old.Seq < r.Seq) {
 			a.reports[r.Process] = &reportEntry{r, now}
--- a/core/canary/merge.go
+++ b/core/canary/merge.go
@@ -106,7 +106,7 @@
 	}
 	for _, l := range n.Losses {
 		old := en.losses[l.Replica]
-		if old == nil && len(en.losses) >= maxCells || old != nil && old.Events >= l.Events {
+		if stage(l.Stage) > stageNone || old == nil && len(en.losses) >= maxCells || old != nil && old.Events >= l.Events {
 			continue
 		}
 		if old == nil {
@@ -122,6 +122,9 @@
 func (e *evidence) mergeCell(now time.Time, en *entry, cl *Cell) {
 	k := cl.key()
 	old := en.cells[k]
+	if k.stage > stageNone {
+		return
+	}
 	if old == nil {
 		if len(en.cells) >= 2*maxCells {
 			return
--- a/core/canary/order.go
+++ b/core/canary/order.go
@@ -54,6 +54,9 @@
 	// Withdrawn lists the targets that were rolled back since the service last changed its
 	// Base, the newest last. Their replicas get no request.
 	Withdrawn []string
+	// Start is when the order was first seen, by the clock of the instance that recorded
+	// the status; zero if that is not known. It counts only after the loss of all instances.
+	Start time.Time
 }
 
 // Process is one process of an instance.
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -1,7 +1,7 @@
 package canary
 
 import (
-	"math"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,28 +24,36 @@
 	maxStepTime = 0.1
 	// settleBy is when settling begins at the latest, unless the target is bad.
 	settleBy = 0.88
-	// watchPeriod is the time between two pulses of the share.
-	watchPeriod = 0.2
+	// boostAt is when the load of the target's replicas is raised, and boostTime for how
+	// long, up to maxBoostTime.
+	boostAt   = 0.3
+	boostTime = 0.08
 )
 
 const (
 	minStep = 400 * time.Millisecond
 	maxStep = 5 * time.Second
+	// pulsePeriod is the time between two pulses of the share. Four fit into the time of
+	// watching of a rollout of 12 s.
+	pulsePeriod  = 2 * time.Second
+	maxBoostTime = 5 * time.Second
+	// turnTime is how long a replica of the target is in use for watching. One faulty
+	// replica is told from a bad version by the others, so two must have had their turns
+	// well before the rollback time.
+	turnTime = 2500 * time.Millisecond
 	// completeBefore is how long before its deadline a rollout is completed at the latest:
 	// the time in which the status is written, read and acted on.
 	completeBefore = 400 * time.Millisecond
 	// silentAfter is how long after the last state heard from a peer an instance sends
-	// nothing more to a target that may still turn out bad. Peers call each other every
-	// 160 to 400 ms (core/peering).
+	// nothing more to a target that may still turn out bad, or silentPart of the rollback
+	// time if that is shorter. Peers call each other every 160 to 400 ms (core/peering).
 	silentAfter = 2 * time.Second
+	silentPart  = 0.4
 
 	// watchShare is the part of the exposure bound that watching uses.
 	watchShare = 0.38
 	// boost is by how much more load than usual the target's replicas get for a time.
 	boost = 1.5
-	// turns is how often all replicas in use for watching are exchanged for others within
-	// a rollout's duration, so that one faulty replica is told from a bad version.
-	turns = 4.6
 )
 
 // moveShares are the shares of the steps of moving.
@@ -114,30 +122,26 @@
 func (a *attempt) watchLoad(age time.Duration, b Bounds) load {
 	mean := watchShare * b.Share
 	l := load{mean, a.replicasFor(mean), stageWatch}
-	period := a.part(watchPeriod)
-	inPeriod := age % max(period, 1)
 	if single := 1 / float64(1+max(a.oldReplicas, 1)); single > mean {
 		l.share = single
-		if inPeriod < time.Duration((1-mean/single)*float64(period)) {
+		if age%pulsePeriod < time.Duration((1-mean/single)*float64(pulsePeriod)) {
 			return load{0, 0, stageNone}
 		}
 	}
-	if age/max(period, 1) == 1 && inPeriod >= period/2 {
+	if in := age - a.part(boostAt); in >= 0 && in < min(a.part(boostTime), maxBoostTime) {
 		l.share, l.stage = min(boost*l.share, 0.5), stageBoost
 	}
 	return l
 }
 
 // Rank orders the target's replicas for Choice.Replicas: those with the lowest rank are the
-// first ones. All instances get about the same order, which changes slowly. replica is the
-// name of the replica.
-func (c *Canary) Rank(now time.Time, replica string) float64 {
-	rank := float64(xxhash.Sum64String(replica)>>11) / (1 << 53)
-	if a := c.attempt; a != nil && a.targetReplicas > 0 {
-		n := a.replicasFor(watchShare * c.Bounds.Share)
-		turned := float64(now.Sub(a.start)) / float64(a.order.Duration) * turns * float64(n) / float64(a.targetReplicas)
-		rank -= turned
-		rank -= math.Floor(rank)
+// first ones. All instances get about the same order, which changes every turnTime. replica
+// is the name of the replica.
+func (c *Canary) Rank(now time.Time, replica string) uint64 {
+	turn := uint64(0)
+	if a := c.attempt; a != nil {
+		turn = uint64(now.Sub(a.start) / turnTime)
 	}
-	return rank
+	var b [64]byte
+	return xxhash.Sum64(append(binary.BigEndian.AppendUint64(b[:0], turn), replica...))
 }
--- a/core/canary/status.go
+++ b/core/canary/status.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"crocusfold.dev/core/topicview"
 )
 
 // Write is a status to record.
@@ -38,7 +40,7 @@
 	if a == nil {
 		return Write{}, false
 	}
-	w := Write{Status{State: Serving, Target: a.order.Target, Position: a.began, Base: c.base, Withdrawn: c.withdrawn}, "the order was read"}
+	w := Write{Status{State: Serving, Target: a.order.Target, Position: a.began, Base: c.base, Withdrawn: c.withdrawn, Start: a.start}, "the order was read"}
 	same := rec.Target == w.Status.Target
 	switch a.phase() {
 	case Done:
@@ -52,7 +54,7 @@
 	if same && rec.State == w.Status.State {
 		// A restored log has the order in another era; a later record in that era is a new
 		// attempt only if the status says which one it covers.
-		if rec.State != RolledBack || rec.Position.Era == w.Status.Position.Era {
+		if rec.State != RolledBack || rec.Position == (topicview.Position{}) || rec.Position.Era == w.Status.Position.Era {
 			return Write{}, false
 		}
 	}
--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -6,17 +6,19 @@
 )
 
 const (
-	// falseAlarm is the part of the rollouts of good versions that may be found bad over
+	// falseAlarm bounds the part of the rollouts of good versions that are found bad over
 	// the whole time, and lateFalseAlarm the part at one of the two times when it must be
-	// decided. One in a hundred rollouts of good versions may fail for any reason.
-	falseAlarm     = 0.002
-	lateFalseAlarm = 0.004
+	// decided, if bad responses are independent but for a single faulty replica. One
+	// in a hundred rollouts of good versions may fail for any reason; the bounds are far from
+	// what is measured (TestGoodVersions).
+	falseAlarm     = 0.01
+	lateFalseAlarm = 0.02
 	// doubtful is how many times likelier than good a version must be bad for the decision
 	// to be put off, for each comparison.
 	doubtful = 3
 	// badResponses is the number of bad responses from which the rollback time counts, and
-	// countRule the number that ends a rollout even if they are hardly more than usual. It
-	// leaves room for what is on its way and for one replica that doesn't count.
+	// countRule the number over what is usual that ends a rollout for itself. It leaves
+	// room for what is on its way and for one replica that hardly counts.
 	badResponses = 50
 	countRule    = 20
 	// minFailures is the least number of failures of a bad version, since the first ones
@@ -29,8 +31,13 @@
 	minRatio = 2
 	// afterwards is by how many times stronger the evidence must be when the old version no
 	// longer gets requests to compare with, and minAfterwards the failures it needs.
-	afterwards    = 20
-	minAfterwards = 10
+	afterwards    = 4
+	minAfterwards = 6
+	// similar is the number of failures of the old version by which one stage may be over
+	// twice what the earlier ones let expect, to be counted together with them, and
+	// minSimilar the least number of its responses.
+	similar    = 1
+	minSimilar = 50
 )
 
 // ratios are the ratios of the parts of bad responses, target to old, that a bad version
@@ -125,6 +132,8 @@
 	routes []string
 	// single is true if the target has only one replica, which then counts.
 	single bool
+	// into has the stage with which the failures of each stage are counted.
+	into [stageNone + 1]stage
 }
 
 func newTable(e *evidence, replicas int) *table {
@@ -144,9 +153,45 @@
 		t.add(tried{stratum{place{l.Route, l.DataCentre}, stage(l.Stage)}, l.Replica,
 			[measures]float64{}, [measures]float64{float64(l.Events), 0}}, l.Target)
 	}
+	t.pool()
 	return t
 }
 
+// pool counts the failures of all stages together as far as the old version failed as
+// rarely in the later ones as in the earlier ones. In the later stages few requests are left
+// to the old version, so that less would follow from them alone.
+func (t *table) pool() {
+	var stages [stageNone + 1]trials
+	for st, tr := range t.strata {
+		i := st.stage
+		if i < stageMove {
+			i = stageWatch
+		}
+		stages[i].n[0] += tr[failures].n[0]
+		stages[i].bad[0] += tr[failures].bad[0]
+	}
+	first := &stages[stageWatch]
+	first.n[0] += stages[stageNone].n[0]
+	first.bad[0] += stages[stageNone].bad[0]
+	for i := range t.into {
+		s := stages[i]
+		t.into[i] = stageWatch
+		if stage(i) >= stageMove && stage(i) < stageNone &&
+			(s.n[0] < minSimilar || s.bad[0] > 2*s.n[0]*first.bad[0]/max(first.n[0], 1)+similar) {
+			t.into[i] = stage(i)
+		}
+	}
+	t.into[stageAll] = stageAll
+}
+
+// in returns the stratum in which a response of a stratum counts.
+func (t *table) in(st stratum, m measure) stratum {
+	if m == failures {
+		st.stage = t.into[st.stage]
+	}
+	return st
+}
+
 func (t *table) add(d tried, target bool) {
 	st := t.strata[d.stratum]
 	if st == nil {
@@ -187,9 +232,10 @@
 	}
 	if limit := max(next, 1); !t.single && most > limit {
 		for _, d := range t.tried {
-			if tr, ok := out[d.stratum]; ok && d.replica == worst {
+			st := t.in(d.stratum, m)
+			if tr, ok := out[st]; ok && d.replica == worst {
 				tr.bad[1] -= d.bad[m] * (1 - limit/most)
-				out[d.stratum] = tr
+				out[st] = tr
 			}
 		}
 	}
@@ -200,9 +246,16 @@
 func (t *table) all(route string, m measure) map[stratum]trials {
 	out := make(map[stratum]trials, len(t.strata))
 	for st, all := range t.strata {
-		if route == "" || st.route == route {
-			out[st] = all[m]
+		if route != "" && st.route != route {
+			continue
+		}
+		st = t.in(st, m)
+		tr := out[st]
+		for i := range tr.n {
+			tr.n[i] += all[m].n[i]
+			tr.bad[i] += all[m].bad[i]
 		}
+		out[st] = tr
 	}
 	return out
 }
@@ -236,7 +289,7 @@
 	}
 	f, s := summarize(bad1), summarize(bad2)
 	n, expected := f.bad+s.bad, f.expected+s.expected
-	if n < countRule || n < minRatio*expected {
+	if n-expected < countRule || n < minRatio*expected {
 		return "", false
 	}
 	return fmt.Sprintf("%.0f bad responses, where %.1f are usual", n, expected), true
