--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -96,8 +96,9 @@
 
 // Surroundings is what an instance knows of its service and of the other instances.
 type Surroundings struct {
-	// Leader is true if this instance holds the lease of the leader, and Generation the
-	// generation of the lease.
+	// Leader is true if this instance holds the lease of the leader, and Apply has had a
+	// status that was read since the lease began; a status of the last leader must not be
+	// missed. Generation is the generation of the lease.
 	Leader     bool
 	Generation uint64
 	// Reachable has the names of the other instances that are reachable from the leader.
--- a/core/canary/exposure.go
+++ b/core/canary/exposure.go
@@ -111,7 +111,7 @@
 		ch.Rollout = c.rolloutOf(stageNone)
 	}
 	if isTarget {
-		// A resumed response is not put off for the bound, but uses it up.
+		// A resumed response is not refused for the bound, but uses it up.
 		ch.Target = true
 		a.exposure.balance--
 		a.exposure.sent++
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -21,7 +21,7 @@
 	// stepTime is how long each step of moving takes, within minStep and maxStep, and
 	// maxStepTime a limit for durations of a few seconds.
 	stepTime    = 0.06
-	maxStepTime = 0.1
+	maxStepTime = 0.08
 	// settleBy is when settling begins at the latest, unless the target is bad.
 	settleBy = 0.88
 	// boostAt is when the load of the target's replicas is raised, and boostTime for how
@@ -51,7 +51,7 @@
 	silentPart  = 0.4
 
 	// watchShare is the part of the exposure bound that watching uses.
-	watchShare = 0.38
+	watchShare = 0.37
 	// boost is by how much more load than usual the target's replicas get for a time.
 	boost = 1.5
 )
