--- a/core/answertime/answertime.go
+++ b/core/answertime/answertime.go
@@ -136,7 +136,8 @@
 	pending := t.pending.value(now, 0, 1)
 	c := t.gap.coefficients(now, t.priorGap())
 	gap := func(running float64) float64 {
-		return c[0] + c[1]*running/runningScale + c[2]*pending/prefillScale
+		// A fit of few observations can be below zero.
+		return max(0, c[0]+c[1]*running/runningScale+c[2]*pending/prefillScale)
 	}
 	usual := fromMilliseconds(max(events-1, 0) * gap(running) * lasting)
 	running += (float64(a.Running) - running) * share(duration, usual)
--- a/core/pool/versions.go
+++ b/core/pool/versions.go
@@ -11,7 +11,7 @@
 	// First is the number of replicas that may be chosen: those with the lowest Rank, which is
 	// given their id. 0 allows all, and needs no Rank.
 	First int
-	Rank  func(id string) float64
+	Rank  func(id string) uint64
 }
 
 // Allow reports whether a replica may have a software version.
@@ -28,11 +28,11 @@
 // highestOfFirst returns the highest rank of the first replicas that a request may use; ok is
 // false if it may use all. Replicas that leave or are in closed data centres don't count,
 // but those that are full or failing do, so that the request does not spread to others.
-func (p *Pool) highestOfFirst(req Request) (highest float64, ok bool) {
+func (p *Pool) highestOfFirst(req Request) (highest uint64, ok bool) {
 	if req.Versions.First <= 0 {
 		return 0, false
 	}
-	var ranks []float64
+	var ranks []uint64
 	for _, r := range p.replicas {
 		if r.Service == req.Service && !r.Draining && !req.ClosedDataCentres[r.DataCentre] && req.Versions.Allow(r.Software) {
 			ranks = append(ranks, req.Versions.Rank(r.ID))
--- a/core/pool/versions_test.go
+++ b/core/pool/versions_test.go
@@ -18,7 +18,7 @@
 		}
 		return p
 	}
-	rank := func(id string) float64 { return float64('z' - id[0]) }
+	rank := func(id string) uint64 { return uint64('z' - id[0]) }
 	for _, c := range []struct {
 		name     string
 		versions Versions
@@ -65,7 +65,7 @@
 		r.ID, r.Service, r.Software, r.Slots = id, "s", "v2", 2
 		p.Set(r)
 	}
-	rank := func(id string) float64 { return float64(id[0]) }
+	rank := func(id string) uint64 { return uint64(id[0]) }
 	choice, reason := p.Choose(now, Request{
 		Service: "s", ClosedDataCentres: map[string]bool{"closed": true}, Versions: Versions{Only: "v2", First: 1, Rank: rank},
 	})
--- a/entry/rollouts/requests.go
+++ b/entry/rollouts/requests.go
@@ -25,7 +25,7 @@
 func (ro *Rollouts) Allows(now time.Time, ch Choice) pool.Versions {
 	v := pool.Versions{Only: ch.Versions.Only, Except: ch.Versions.Except, First: ch.Replicas}
 	if v.First > 0 {
-		v.Rank = func(id string) float64 {
+		v.Rank = func(id string) uint64 {
 			ro.mu.Lock()
 			defer ro.mu.Unlock()
 			return ro.service(ch.service).canary.Rank(now, id)
