Avoid replicas that seem to have stalled, and end what waits there

A suspected replica gets probes only, what runs there is ended, and peers are told (Gossip.Stalled). Only services whose requests compete for replicas are watched.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -50,6 +50,8 @@
 	Idempotent, AvoidErring bool
 	// Versions are the software versions that the replica may have.
 	Versions Versions
+	// Repeatable requests may run again, and are sent to suspected replicas as probes.
+	Repeatable bool
 	// ClosedDataCentres holds the data centres that get no work, and Tried the
 	// replicas that the request was already sent to.
 	ClosedDataCentres, Tried map[string]bool
@@ -224,7 +226,7 @@
 			wait = shorter(wait, r.deferredUntil.Sub(now))
 		case req.AvoidErring && r.erring(now):
 			reason = Erring
-		case now.Before(r.avoidUntil):
+		case r.avoided(now, req.Repeatable):
 			avoided = append(avoided, candidate{r, version})
 		default:
 			eligible = append(eligible, candidate{r, version})
@@ -256,6 +258,9 @@
 	if cold {
 		best.coldBudget--
 	}
+	if now.Before(best.suspicion.until) {
+		best.suspicion.probeAt = now.Add(probeInterval)
+	}
 	return Choice{
 		Replica: best.Replica, Version: best.Versions[req.Model], Cold: cold, Limited: best.limit.Limited, Estimate: estimate, Contended: p.contended(req.Service),
 	}, ""
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -112,9 +112,10 @@
 	meanDelay   time.Duration
 	meanDelayAt time.Time
 	// failRate is the moving average of failed requests, from 0 to 1.
-	failRate float64
-	failAt   time.Time
-	errors   errors
+	failRate  float64
+	failAt    time.Time
+	errors    errors
+	suspicion suspicion
 }
 
 // pendingReload is an upcoming change of a replica's weights to a version. It is
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -18,7 +18,7 @@
 func (p *Pool) Room(now time.Time, req Request) float64 {
 	sum := 0.0
 	for _, r := range p.replicas {
-		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || r.reloading(now) || now.Before(r.avoidUntil) {
+		if r.Service != req.Service || r.Draining || req.ClosedDataCentres[r.DataCentre] || r.reloading(now) || r.avoided(now, req.Repeatable) {
 			continue
 		}
 		load := r.load(now)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -204,7 +204,7 @@
 		Limits: e.limits, Streams: e.streams, Rollouts: e.rollouts, NotifyPeers: e.gossip.NotifyPeers,
 		Queue: cfg.Queue,
 	}
-	e.gossip.Waiting = e.relay.Waiting()
+	e.gossip.Waiting, e.gossip.Stalls = e.relay.Waiting(), e.relay.Stalls()
 	e.replicas.OnChange = func(now time.Time, r pool.Replica) {
 		e.streams.ReplicaChanged(now, r)
 		e.relay.Waiting().WakeAll()
@@ -281,6 +281,7 @@
 	wg.Go(func() { e.crashes.Run(workCtx) })
 	wg.Go(func() { e.streams.Run(workCtx) })
 	wg.Go(func() { e.rollouts.Run(workCtx) })
+	wg.Go(func() { e.relay.Stalls().Run(workCtx) })
 	_ = e.logger.Log("msg", "The instance serves.", "front", e.cfg.Front, "data-centre", e.cfg.DataCentre)
 	select {
 	case err := <-errs:
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -113,6 +113,9 @@
 		g.NotifyPeers()
 	}
 	g.Streams.MergeGossip(now, m)
+	if g.Stalls != nil {
+		g.Stalls.MergeGossip(now, delay, m)
+	}
 	if !counted {
 		m.Loads, m.Waiting = message.LoadTable{}, nil
 	}
@@ -189,6 +192,9 @@
 	m.ViewStates, m.ViewEras = g.Topics.ViewStates(now)
 	g.Crashes.FillGossip(now, &m, since)
 	g.Streams.FillGossip(now, &m)
+	if g.Stalls != nil {
+		g.Stalls.FillGossip(now, &m)
+	}
 	g.mu.Lock()
 	names, oldestFetched := map[string]bool{}, [][]message.ModelVersion{}
 	toLeader, countsSince := false, since
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -65,6 +65,8 @@
 	Waiting Waiting
 	// Rollouts merges and provides the rollouts of software versions.
 	Rollouts Rollouts
+	// Stalls merges and provides the suspicions that replicas have stalled.
+	Stalls Stalls
 
 	mu      sync.Mutex
 	peering peering.Peering
@@ -138,6 +140,14 @@
 	FillGossip(now time.Time, m *message.Gossip, since time.Time, sendsCounts func(instance string) bool)
 }
 
+// Stalls is the state of the replicas that seem to have stalled.
+type Stalls interface {
+	// MergeGossip merges the suspicions in a message that was delayed by the given time.
+	MergeGossip(now time.Time, delay time.Duration, m message.Gossip)
+	// FillGossip adds the suspicions to a message.
+	FillGossip(now time.Time, m *message.Gossip)
+}
+
 // peer is what a peer last reported, apart from the state in peering.
 type peer struct {
 	// oldestFetched is the OldestFetched of its last message.
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -69,6 +69,17 @@
 	// is complete.
 	RolloutStatuses []RolloutStatus `cbor:"49,keyasint,omitempty"`
 	RolloutsKnown   bool            `cbor:"50,keyasint,omitempty"`
+	// Stalled has the replicas that seem to have stalled, by the sender or by others.
+	Stalled []StalledReplica `cbor:"57,keyasint,omitempty"`
+}
+
+// StalledReplica is an incarnation of a replica that seems to have stalled. Age is the time since
+// the last evidence.
+type StalledReplica struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+	Age         time.Duration
 }
 
 // Rollout is the state of the rollout of a service.
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -276,6 +276,7 @@
 		// A data centre may have been closed since the request arrived.
 		ClosedDataCentres: c.relay.Topics.Intent().ClosedDataCentres,
 		Software:          c.software, SampleSeed: xxhash.Sum64String(c.info.ID) | 1, Priority: c.priority(),
+		Repeatable: c.route.Retryable(),
 	}}
 	c.boundAnswer(&req)
 	if c.contended {
@@ -317,6 +318,8 @@
 		conn.firstUsed.Store(used.FirstUse(c.relay.Now()))
 		conn.used.Store(used)
 	})
+	ctx = c.watchStall(ctx, pl, sentAt)
+	defer c.endWatch()
 	resp, err := pl.Transport.RoundTrip(c.request(ctx, pl))
 	now := c.relay.Now()
 	if err != nil {
@@ -329,23 +332,28 @@
 		if ungranted.Load() {
 			return false, att.RunState(), errNotGranted
 		}
-		mayHaveRun := att.RunState() != attempt.NotRun
+		mayHaveRun, stalled := att.RunState() != attempt.NotRun, c.sent.endedByStall()
 		if mayHaveRun {
 			c.recordLost(now, pl, sentAt, time.Time{})
 		}
 		switch {
-		case c.ctx.Err() != nil && mayHaveRun:
+		case (c.ctx.Err() != nil || stalled) && mayHaveRun:
 			c.relay.Crashes.recordPending(now, c.run(pl, sentAt))
 		case c.ctx.Err() == nil && mayHaveRun:
 			c.relay.Crashes.recordCrash(now, c.run(pl, sentAt), c.runInfo())
 		}
 		if c.ctx.Err() == nil {
-			rs.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
-			c.relay.Metrics.countFailedAttempt(pl.Service, "connection")
+			failure := "stalled"
+			if !stalled {
+				failure = "connection"
+				rs.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
+			}
+			c.relay.Metrics.countFailedAttempt(pl.Service, failure)
 			_ = c.relay.Logger.Log("id", c.info.ID, "msg", "A try failed.", "replica", pl.ID, "run", att.RunState(), "handed-on", c.summary.timeLeft.Round(time.Millisecond), "err", err)
 		}
 		return false, att.RunState(), err
 	}
+	c.sent.headReceived(now, resp)
 	respInfo := c.relay.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.observeResponse(now, pl, respInfo, sentAt)
 	c.connOpened = conn.firstUse(now)
--- a/entry/relay/metrics.go
+++ b/entry/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"crocusfold.dev/core/route"
+	"crocusfold.dev/core/stall"
 	"crocusfold.dev/entry/streams"
 )
 
@@ -122,6 +123,13 @@
 	m.scope.Tagged(map[string]string{"origin": string(source)}).Counter("streams_resumed").Inc(1)
 }
 
+// countStall counts a suspicion that a replica of a service has stalled, by its evidence.
+func (m *Metrics) countStall(service string, evidence stall.Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counter(labels{metric: "stalls_suspected", service: service, outcome: string(evidence)}).Inc(1)
+}
+
 // countDeniedRetry counts a request of a service that was not retried because the
 // retry budget was used up.
 func (m *Metrics) countDeniedRetry(service string) {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -71,6 +71,8 @@
 
 	waitingOnce sync.Once
 	waiting     *Waiting
+	stallsOnce  sync.Once
+	stalls      Stalls
 	// shutdown is nil unless the instance is stopping.
 	shutdown atomic.Pointer[shutdown.Shutdown]
 	inFlight atomic.Int64
@@ -140,6 +142,9 @@
 	contended, queued bool
 	// responded is true once the response of the current attempt has begun.
 	responded bool
+	// sent is the request in flight at the replica of the current attempt; nil if its service is
+	// not watched for stalls.
+	sent *sentRequest
 	// hadError is true if the last attempt had an error of the replica as response.
 	hadError bool
 	// budget bounds the retries of the service's requests.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -76,6 +76,7 @@
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
 			c.summary.bytes += int64(n)
+			seen := c.summary.events
 			if stream {
 				c.events.Scan(buf[:n])
 				c.summary.events, c.summary.inEvent = c.events.Events(), c.events.InEvent()
@@ -83,7 +84,9 @@
 				c.observeTimes(pl)
 				pace.observe(c.relay.Now(), c.summary.events)
 			}
+			c.sent.received(c.relay.Now, !stream || c.summary.events > seen)
 			werr := c.write(buf[:n], flush)
+			c.sent.passedOn(c.relay.Now)
 			c.times.written(c.relay.Now)
 			if werr != nil {
 				c.abortResponse(pl, "caller-left", false, sentAt)
@@ -214,7 +217,8 @@
 func (c *call) abortResponse(pl *replicas.Placement, outcome string, byReplica bool, sentAt time.Time) {
 	now := c.relay.Now()
 	run := c.run(pl, sentAt)
-	if c.ctx.Err() != nil || !byReplica {
+	stalled := byReplica && c.sent.endedByStall()
+	if c.ctx.Err() != nil || !byReplica || stalled {
 		c.relay.Crashes.recordPending(now, run)
 	}
 	switch {
@@ -222,6 +226,8 @@
 		outcome = "caller-left"
 	case c.ctx.Err() != nil:
 		outcome = "timeout"
+	case stalled:
+		outcome = "replica-stalled"
 	case byReplica:
 		c.relay.Replicas.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
 		c.relay.Crashes.recordCrash(now, run, c.runInfo())
