Compare lost responses of rollouts apart from failures

Cause: of 100 rollouts of a good version at 30 instances, beside 48 crashes of replicas of both versions in 12 s, 2 were rolled back: a crash counted on the route and in the data centre of the first lost response, where the old version had none by chance. Change: lost responses are a comparison of their own, over all routes and data centres.

--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -50,6 +50,10 @@
 const (
 	failures measure = iota
 	slowness
+	// losses counts each replica once each time that its responses are lost. It is compared
+	// over all places together: a crash is no matter of the route or data centre, and
+	// there are few.
+	losses
 	measures
 )
 
@@ -91,7 +95,7 @@
 		return
 	}
 	t := newTable(&a.evidence, a.targetReplicas)
-	*f = findings{version: a.evidence.version, known: true, tests: float64(int(measures) * (1 + len(t.routes)))}
+	*f = findings{version: a.evidence.version, known: true, tests: float64(2*(1+len(t.routes)) + 1)}
 	for st := range t.strata {
 		for i := range f.responses {
 			f.responses[i] += t.strata[st][failures].n[i]
@@ -99,6 +103,9 @@
 	}
 	for _, route := range append([]string{""}, t.routes...) {
 		for m := range measures {
+			if m == losses && route != "" {
+				continue
+			}
 			proof, doubt, why := t.compare(route, m)
 			f.doubt = max(f.doubt, doubt)
 			if proof > f.proof {
@@ -140,18 +147,17 @@
 	t := &table{strata: map[stratum]*[measures]trials{}, single: replicas == 1}
 	routes := map[string]bool{}
 	for k, cl := range e.cells {
-		d := tried{stratum{place{k.route, k.dataCentre}, k.stage}, k.replica,
-			[measures]float64{float64(cl.Responses), float64(cl.Timed)},
-			[measures]float64{float64(cl.Failed), float64(cl.Slow)}}
-		t.add(d, k.target)
+		t.add(tried{stratum{place{k.route, k.dataCentre}, k.stage}, k.replica,
+			[measures]float64{failures: float64(cl.Responses), slowness: float64(cl.Timed)},
+			[measures]float64{failures: float64(cl.Failed), slowness: float64(cl.Slow)}}, k.target)
+		t.add(tried{stratum{stage: k.stage}, k.replica, [measures]float64{losses: float64(cl.Responses)}, [measures]float64{}}, k.target)
 		if k.target && !routes[k.route] {
 			routes[k.route] = true
 			t.routes = append(t.routes, k.route)
 		}
 	}
 	for _, l := range e.losses {
-		t.add(tried{stratum{place{l.Route, l.DataCentre}, stage(l.Stage)}, l.Replica,
-			[measures]float64{}, [measures]float64{float64(l.Events), 0}}, l.Target)
+		t.add(tried{stratum{stage: stage(l.Stage)}, l.Replica, [measures]float64{}, [measures]float64{losses: float64(l.Events)}}, l.Target)
 	}
 	t.pool()
 	return t
@@ -186,7 +192,7 @@
 
 // in returns the stratum in which a response of a stratum counts.
 func (t *table) in(st stratum, m measure) stratum {
-	if m == failures {
+	if m != slowness {
 		st.stage = t.into[st.stage]
 	}
 	return st
@@ -271,24 +277,26 @@
 	}
 	rest := summarize(evened)
 	excess := slowExcess
-	if m == failures {
+	if m != slowness {
 		excess = failureExcess
 	}
 	if rest.bad < minFailures || rest.bad < minRatio*rest.expected || rest.bad-rest.expected < excess*rest.n {
 		return 0, doubt, ""
 	}
-	return rest.likelihood(), doubt, all.describe(route, [...]string{"failed", "were slow"}[m])
+	return rest.likelihood(), doubt, all.describe(route, [...]string{"failed", "were slow", "were lost (by replica)"}[m])
 }
 
 // countRule reports whether the number of bad responses alone ends the rollout.
 func (t *table) countRule() (why string, bad bool) {
-	bad1, seen := t.evened("", failures)
-	bad2, _ := t.evened("", slowness)
-	if seen < 2 && !t.single {
-		return "", false
+	n, expected := 0.0, 0.0
+	for m := range measures {
+		evened, seen := t.evened("", m)
+		if seen < 2 && !t.single {
+			return "", false
+		}
+		s := summarize(evened)
+		n, expected = n+s.bad, expected+s.expected
 	}
-	f, s := summarize(bad1), summarize(bad2)
-	n, expected := f.bad+s.bad, f.expected+s.expected
 	if n-expected < countRule || n < minRatio*expected {
 		return "", false
 	}
