Avoid stalled replicas only where the settings have watchStalls

Change: a setting of the instance turns it on; the default is off. Measured: TestPath/contended passes with one and with four processors; the tests of entry/relay pass.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -202,7 +202,7 @@
 		Bounds: &e.bounds, Dialect: platform.Dialect, Topics: e.topics, Replicas: e.replicas, Control: platform.Control,
 		Budgets: e.retryBudgets, Now: now, Logger: part("relay"), Metrics: metrics, Crashes: e.crashes,
 		Limits: e.limits, Streams: e.streams, Rollouts: e.rollouts, NotifyPeers: e.gossip.NotifyPeers,
-		Queue: cfg.Queue,
+		Queue: cfg.Queue, WatchStalls: cfg.WatchStalls,
 	}
 	e.gossip.Waiting, e.gossip.Stalls = e.relay.Waiting(), e.relay.Stalls()
 	e.replicas.OnChange = func(now time.Time, r pool.Replica) {
--- a/entry/edgeconfig/edgeconfig.go
+++ b/entry/edgeconfig/edgeconfig.go
@@ -71,8 +71,11 @@
 	Contended bool
 	// Queue is true if requests that compete for replicas wait in an ordered queue. Otherwise
 	// each waits on its own.
-	Queue  bool
-	Bounds Bounds
+	Queue bool
+	// WatchStalls is true if replicas that seem to have stalled are avoided, where requests
+	// compete for replicas.
+	WatchStalls bool
+	Bounds      Bounds
 }
 
 // LiveBounds holds the bounds in force, which change when the settings are reloaded. All
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -68,6 +68,9 @@
 	// Queue is true if requests that compete for replicas wait in an ordered queue. Otherwise
 	// each waits on its own.
 	Queue bool
+	// WatchStalls is true if replicas that seem to have stalled are avoided, where requests
+	// compete for replicas.
+	WatchStalls bool
 
 	waitingOnce sync.Once
 	waiting     *Waiting
--- a/entry/relay/stalls.go
+++ b/entry/relay/stalls.go
@@ -56,7 +56,7 @@
 // read afterwards; it ends with the request.
 func (c *call) watchStall(ctx context.Context, pl *replicas.Placement, now time.Time) context.Context {
 	c.sent = nil
-	if !pl.Contended {
+	if !pl.Contended || !c.relay.WatchStalls {
 		return ctx
 	}
 	s := c.relay.Stalls()
@@ -175,6 +175,9 @@
 
 // suspect acts on a finding, and reports whether its replica was not suspected before.
 func (s *Stalls) suspect(now time.Time, f stall.Finding) bool {
+	if !s.relay.WatchStalls {
+		return false
+	}
 	until := now.Add(suspicionTime)
 	if f.Evidence == stall.Peer {
 		until = now.Add(peerSuspicionTime)
