--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -67,10 +67,13 @@
 	stageWatch stage = iota
 	stageBoost
 	stageMove // and one for each further step of moving
-	stageAll  = stageMove + stage(len(moveShares))
+)
+
+const (
+	stageAll = stageMove + stage(len(moveShares))
 	// stageNone is that of times in which the target gets nothing.
-	stageNone = stage(15)
-	stageBits = 4
+	stageNone stage = 1<<stageBits - 1
+	stageBits       = 4
 )
 
 // part returns a fraction of the duration.
