Don't complete a rollout whose target has lost all replicas

Cause: while settling, only the requests on old replicas were asked for; with the target gone, completed would have stopped the last replicas of the service. Evidence: a script of orders.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -72,6 +72,8 @@
 				status = w.Status
 				c.Apply(at(args[1]), order, 0, status)
 				return []string{fmt.Sprintf("%s %s %d:%d: %s", status.State, status.Target, status.Position.Era, status.Position.Offset, w.Why)}
+			case "hear":
+				c.Merge(at(args[1]), State{Order: *order, Began: order.Position, Decision: Decision{1, Settling, 0}}, 0)
 			case "choose":
 				return show(c.Choose(at(args[1]), "r"))
 			case "resume":
--- a/core/canary/leader.go
+++ b/core/canary/leader.go
@@ -63,7 +63,7 @@
 		if a.responsive() && (inPhase >= all && a.findings.calm() || late && inPhase >= min(minSettle, all)) {
 			return Settling, a.goodReason()
 		}
-	case phase == Settling:
+	case phase == Settling && a.targetReplicas > 0:
 		if age >= a.order.Duration-completeBefore {
 			return Done, "the deadline is near"
 		}
