--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -20,6 +20,23 @@
 	groups  map[string]*group
 	changed chan struct{}
 	fenced  map[string]uint64
+	// down makes the store answer 503 to all calls: nothing was done.
+	down bool
+}
+
+// SetDown takes the store down or brings it back, with all that it has acknowledged.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
 }
 
 type topic struct {
@@ -78,16 +95,25 @@
 	return offset
 }
 
-// Put writes a keyed record as the operator or a server does.
-func (s *Store) Put(name, key string, value []byte) {
+// Put writes a keyed record as the operator or a server does, and reports whether the store
+// accepted it.
+func (s *Store) Put(name, key string, value []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
 	s.put(name, "0", append(append([]byte{byte(len(key))}, key...), value...))
+	return true
 }
 
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	w.Header().Set("Store-Era", "1")
+	if s.isDown() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/api/log-append":
 		s.append(w, r)
@@ -146,6 +172,11 @@
 	end := time.After(time.Duration(ms) * time.Millisecond)
 	for waiting := ms > 0; ; {
 		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		t := s.topic(q.Get("topic"), q.Get("part"))
 		if from > len(t.records) {
 			s.mu.Unlock()
