--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -38,10 +38,12 @@
 	KVs       []*KV
 	Edges     []*Edge
 	Routes    []map[string]any
-	stop      chan struct{}
-	mu        sync.Mutex
-	record    *os.File
-	began     time.Time
+	// Isolated has the tenants that share no part with others.
+	Isolated map[string]bool
+	stop     chan struct{}
+	mu       sync.Mutex
+	record   *os.File
+	began    time.Time
 }
 
 // Edge is a process of crocus-edge.
@@ -156,7 +158,8 @@
 		"version": version, "routes": d.Routes, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{
-			{"name": "ordinary", "apiKeys": []string{key}, "priority": 1}, {"name": "other", "apiKeys": []string{otherKey}, "priority": 1},
+			{"name": "ordinary", "apiKeys": []string{key}, "priority": 1, "isolated": d.Isolated["ordinary"]},
+			{"name": "other", "apiKeys": []string{otherKey}, "priority": 1, "isolated": d.Isolated["other"]},
 		},
 	})
 	d.Store.Put("keyed.op", "config", raw)
--- a/review/lab/kv.go
+++ b/review/lab/kv.go
@@ -16,28 +16,37 @@
 	Capacity      int
 	mu            sync.Mutex
 	held          map[part]int
+	makers        map[part]string
 	used          int
 	events        [][]any
 	changed       chan struct{}
 }
 
 func newKV(name string, capacity int) *KV {
-	return &KV{Name: name, Capacity: capacity, held: map[part]int{}, changed: make(chan struct{})}
+	return &KV{Name: name, Capacity: capacity, held: map[part]int{}, makers: map[part]string{}, changed: make(chan struct{})}
 }
 
-// Save keeps a part, if there is room.
-func (k *KV) Save(p part, tokens int) {
+// Save keeps a part that a request of a tenant made, if there is room.
+func (k *KV) Save(p part, tokens int, maker string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	size := (tokens + 15) / 16 * 16
 	if _, ok := k.held[p]; ok || k.used+size > k.Capacity {
 		return
 	}
-	k.held[p] = tokens
+	k.held[p], k.makers[p] = tokens, maker
 	k.used += size
 	k.event("+", p, tokens)
 }
 
+// Maker returns whose request made a part that the store keeps.
+func (k *KV) Maker(p part) (string, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.held[p]
+	return k.makers[p], ok
+}
+
 func (k *KV) event(sign string, p part, tokens int) {
 	k.events = append(k.events, []any{len(k.events) + 1, sign, p.salt, p.id, tokens, "m1"})
 	close(k.changed)
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -26,6 +26,9 @@
 	Work                        time.Duration
 	Events                      int
 	Stores                      map[string]*KV
+	// OnUse, if set, is called for each part that a request takes from memory: who made it, and
+	// where it was.
+	OnUse func(r *http.Request, p part, maker, from string)
 	// Fault, if set, may answer a request in place of the replica. It reports whether it did.
 	Fault func(w http.ResponseWriter, r *http.Request) bool
 
@@ -35,6 +38,8 @@
 	seq     int
 	runs    []run
 	beat    int
+	// cache has the parts that the replica keeps, with the tenant whose request made each.
+	cache map[part]string
 }
 
 // Entry is what the replica writes into the store.
@@ -127,11 +132,11 @@
 		_, _ = io.WriteString(w, text)
 		return
 	}
-	// A prompt is read at 140 tokens a ms; then its parts are saved.
+	// A prompt is read at 140 tokens a ms; then its parts are kept.
 	in, _, _ := strings.Cut(r.Header.Get("Crocusfold-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(in)
 	pause(r, time.Duration(tokens)*time.Millisecond/140)
-	p.save(r)
+	p.context(r)
 	h.Set("Crocusfold-Weight-Versions", "1")
 	h.Set("Content-Type", "text/event-stream")
 	for i := 1; i <= p.Events; i++ {
@@ -145,17 +150,41 @@
 	return fmt.Sprintf("%d,%d,%d", min(p.running, p.Capacity), max(0, p.running-p.Capacity), p.Capacity)
 }
 
-// save sends the parts to the stores that the request names.
-func (p *Replica) save(r *http.Request) {
+// context takes the parts of a prompt from the replica's own cache or from the stores that the
+// request names, and makes and saves the others. A part is found only if all parts before it are.
+func (p *Replica) context(r *http.Request) {
+	salt, tenant := r.Header.Get("Crocusfold-Cache-Salt"), r.Header.Get("Crocusfold-Tenant")
 	saves := strings.Split(r.Header.Get("Crocusfold-Kv-Save"), ",")
+	fetches := strings.Split(r.Header.Get("Crocusfold-Kv-Fetch"), ",")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cache == nil {
+		p.cache = map[part]string{}
+	}
+	found := true
 	for i, entry := range strings.Split(r.Header.Get("Crocusfold-Prompt-Prefix"), ",") {
 		id, n, ok := strings.Cut(entry, ":")
-		if !ok || i >= len(saves) {
+		if !ok {
+			continue
+		}
+		key := part{salt, id}
+		maker, cached := p.cache[key]
+		from := "its own cache"
+		if found && !cached && i < len(fetches) && p.Stores[fetches[i]] != nil {
+			maker, cached = p.Stores[fetches[i]].Maker(key)
+			from = p.Stores[fetches[i]].Name
+		}
+		if found = found && cached; found {
+			p.cache[key] = maker
+			if p.OnUse != nil {
+				p.OnUse(r, key, maker, from)
+			}
 			continue
 		}
-		if kv := p.Stores[saves[i]]; kv != nil {
+		p.cache[key] = tenant
+		if i < len(saves) && p.Stores[saves[i]] != nil {
 			tokens, _ := strconv.Atoi(n)
-			kv.Save(part{r.Header.Get("Crocusfold-Cache-Salt"), id}, tokens)
+			p.Stores[saves[i]].Save(key, tokens, tenant)
 		}
 	}
 }
