--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -41,6 +41,7 @@
 	// Isolated has the tenants that share no part with others.
 	Isolated map[string]bool
 	stop     chan struct{}
+	once     sync.Once
 	mu       sync.Mutex
 	record   *os.File
 	began    time.Time
@@ -272,7 +273,9 @@
 }
 
 // Close ends all processes that were started.
-func (d *Deployment) Close() {
+func (d *Deployment) Close() { d.once.Do(d.close) }
+
+func (d *Deployment) close() {
 	close(d.stop)
 	for _, e := range d.Edges {
 		if e.cmd != nil && e.cmd.Process != nil && e.Alive() {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +18,9 @@
 	couldNot = 2
 )
 
+// caseLimit is how long a case may run.
+const caseLimit = 110 * time.Second
+
 var cases = map[string]func(d *Deployment, trouble bool) int{}
 
 func main() {
@@ -35,6 +41,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNot)
 	}
+	// Whatever happens, the processes end with the case.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(caseLimit):
+		}
+		d.Note("the case was ended early")
+		d.Close()
+		os.Exit(couldNot)
+	}()
 	code := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	d.Close()
 	os.Exit(code)
