--- a/review/lab/case_reborn.go
+++ b/review/lab/case_reborn.go
@@ -37,6 +37,8 @@
 	// The first event comes after firstEvent. A server runs so many requests at once.
 	firstEvent = 200 * time.Millisecond
 	slots      = 16
+	// streamDeadline is how long a client waits for the whole stream.
+	streamDeadline = 8 * time.Second
 )
 
 // server is a replica of resumable streams, which can crash, start again under its id, and be
@@ -168,9 +170,9 @@
 // follow begins a stream and takes it up again after a broken channel, as clients do.
 func (d *Deployment) follow(n int) *stream {
 	s := &stream{}
-	end := time.Now().Add(20 * time.Second)
+	end := time.Now().Add(streamDeadline)
 	first := ""
-	for try := 0; try < 8 && time.Now().Before(end); try++ {
+	for try := 0; try < 4 && time.Now().Before(end); try++ {
 		id := newID()
 		if s.id == "" {
 			s.id = id
@@ -180,7 +182,7 @@
 		req.Host = host
 		req.Header.Set("Crocusfold-Request-Id", id)
 		req.Header.Set("Authorization", "Bearer "+key)
-		req.Header.Set("Crocusfold-Deadline-Ms", "8000")
+		req.Header.Set("Crocusfold-Deadline-Ms", strconv.FormatInt(time.Until(end).Milliseconds(), 10))
 		if s.last > 0 {
 			req.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
 			req.Header.Set("Resumes", first)
