--- a/review/lab/case_rejoin.go
+++ b/review/lab/case_rejoin.go
@@ -100,7 +100,7 @@
 	back := began.Add(killAt + restartPause)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	taken, on := 0, 0
+	taken, on, complete := 0, 0, 0
 	for n := range brokenStreams {
 		wg.Go(func() {
 			time.Sleep(time.Until(began.Add(killAt - time.Second + time.Duration(n)*700*time.Millisecond/brokenStreams)))
@@ -108,6 +108,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			d.Note("stream %s: complete %v, events of %s; %s", s.id, s.complete, strings.Join(s.versions, ", "), strings.Join(s.tries, "; "))
+			if s.complete {
+				complete++
+			}
 			if len(s.tries) == 1 || at.Sub(back) < inTouch && status != 200 {
 				return
 			}
@@ -160,11 +163,11 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	wg.Wait()
-	text := fmt.Sprintf("streams taken up again at machines in touch: %d, of which go on: %d; new streams: %d, of which begin: %d", taken, on, begun, started)
+	text := fmt.Sprintf("streams: %d, complete: %d; taken up again at machines in touch: %d, of which go on: %d; new streams: %d, of which begin: %d", brokenStreams, complete, taken, on, begun, started)
 	d.Note("%s", text)
 	fmt.Println(text)
 	switch {
-	case !trouble && started == begun:
+	case !trouble && complete == brokenStreams && started == begun:
 		return held
 	case taken < 12 || started == 0:
 		return couldNot
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -221,14 +222,35 @@
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.Dir, "LANG=C", "CROCUSFOLD_CONFIG=" + e.Settings}
 	e.cmd.Stdout, e.cmd.Stderr = e, e
 	e.done = make(chan struct{})
-	if err := e.cmd.Start(); err != nil {
+	// The process ends with this one, however that ends.
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startProcess(e.cmd); err != nil {
 		return err
 	}
-	done := e.done
-	go func() { _ = e.cmd.Wait(); close(done) }()
+	cmd, done := e.cmd, e.done
+	go func() { _ = cmd.Wait(); close(done) }()
 	return nil
 }
 
+// starts has the processes to start. Their parent is the thread that starts them, so that one
+// thread, which lives as long as the program, starts them all.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+func startProcess(cmd *exec.Cmd) error {
+	started := make(chan error)
+	starts <- func() { started <- cmd.Start() }
+	return <-started
+}
+
 // freeIP returns a loopback address at which the ports of an instance are free.
 func freeIP() (string, error) {
 	for range 50 {
