--- a/review/lab-3/replica.go
+++ b/review/lab-3/replica.go
@@ -34,9 +34,18 @@
 
 	mu   sync.Mutex
 	runs []seen
-	seq  int
+	// seq numbers the entries, version is that of the weights, orders the number of orders that
+	// were accepted, and fence the highest generation number of these.
+	seq     int
+	version int
+	orders  int
+	fence   uint64
+	busy    bool
 }
 
+// loadTime is how long new weights take.
+const loadTime = 270 * time.Millisecond
+
 // addReplica starts a replica and keeps its entry in the store.
 func (l *lab) addReplica(id, service, zone, model string, work time.Duration) *replica {
 	ln := listen(l.net + ".3")
@@ -49,17 +58,61 @@
 
 // register writes the entry of the replica.
 func (p *replica) register(state string) {
+	p.mu.Lock()
 	p.seq++
+	version := p.weights()
+	seq := p.seq
+	p.mu.Unlock()
 	e := map[string]any{
 		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "capacity": 64, "state": state,
-		"coldLeftMs": 0, "seq": p.seq, "born": p.born,
+		"coldLeftMs": 0, "seq": seq, "born": p.born,
 	}
 	if p.model != "" {
-		e["phase"], e["models"] = "unified", []any{map[string]any{"name": p.model, "version": 1, "adapters": []string{}}}
+		e["phase"], e["models"] = "unified", []any{map[string]any{"name": p.model, "version": version, "adapters": []string{}}}
 	}
 	p.l.store.put("keyed.servers", p.id, e)
 }
 
+// weights returns the version of the weights. The caller holds the lock.
+func (p *replica) weights() int { return max(p.version, 1) }
+
+// order takes an order to load weights.
+func (p *replica) order(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Version int    `json:"version"`
+		Holder  string `json:"holder"`
+		Fence   uint64 `json:"fence"`
+		Seq     *int   `json:"precondition"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.Holder == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case r.Header.Get("Crocusfold-Expect-Instance") != p.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case in.Fence < p.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case p.busy || in.Seq != nil && *in.Seq != p.orders:
+		w.WriteHeader(http.StatusConflict)
+	case p.weights() == in.Version:
+		w.WriteHeader(http.StatusOK)
+	default:
+		p.fence, p.busy = in.Fence, true
+		p.orders++
+		p.l.note("replica %s loads version %d by order of %s, generation %d", p.id, in.Version, in.Holder, in.Fence)
+		time.AfterFunc(loadTime, func() {
+			p.mu.Lock()
+			p.version, p.busy = in.Version, false
+			p.mu.Unlock()
+			p.register("ready")
+		})
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
 // all returns what the replica has begun to run.
 func (p *replica) all() []seen {
 	p.mu.Lock()
@@ -70,11 +123,17 @@
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/api/report":
+		p.mu.Lock()
+		version, orders, busy := p.weights(), p.orders, p.busy
+		p.mu.Unlock()
 		reply(w, http.StatusOK, map[string]any{
-			"phase": "unified", "models": []any{map[string]any{"name": p.model, "version": 1, "adapters": []string{}}}, "busy": false, "seq": 0,
+			"phase": "unified", "models": []any{map[string]any{"name": p.model, "version": version, "adapters": []string{}}}, "busy": busy, "seq": orders,
 			"queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 92125, "sessionHandles": 0, "born": p.born, "clock_ms": time.Now().UnixMilli(),
 		})
 		return
+	case "/api/order":
+		p.order(w, r)
+		return
 	case "/health":
 		w.Header().Set("Crocusfold-Instance-Id", p.id)
 		return
@@ -83,7 +142,17 @@
 	if err != nil {
 		return
 	}
-	if expected := r.Header.Get("Crocusfold-Expect-Instance"); expected != "" && expected != p.id {
+	p.mu.Lock()
+	version, busy := strconv.Itoa(p.weights()), p.busy
+	p.mu.Unlock()
+	if busy {
+		w.Header().Set("Crocusfold-Not-Run", "1")
+		w.Header().Set("Crocusfold-Request-Id", r.Header.Get("Crocusfold-Request-Id"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	expected, expectedVersion := r.Header.Get("Crocusfold-Expect-Instance"), r.Header.Get("Crocusfold-Expect-Version")
+	if expected != "" && expected != p.id || expectedVersion != "" && expectedVersion != version {
 		w.Header().Set("Crocusfold-Instance-Id", p.id)
 		w.Header().Set("Crocusfold-Request-Id", r.Header.Get("Crocusfold-Request-Id"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -107,7 +176,7 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
-	h.Set("Crocusfold-Weight-Versions", "1")
+	h.Set("Crocusfold-Weight-Versions", version)
 	for i := range 3 {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
