streams: a software version is recorded before streams begin at it

Cause: a listed version counted as one that may have begun streams, and nothing that outlives the instances said whether one had.

Ruled out: writing the origins of all streams while one version serves (about 45 writes a second at nine instances, and the last 0.2 to 0.6 s are lost all the same).

Change: a version is admitted by a record on the log before the first stream that may be resumed begins there. A new one is admitted once the streams of the others are recorded or over, or at once if the others have less than half of the replicas. A stream whose origin nobody knows goes on at the only admitted version, if a read after the request confirms it and no restore is near.

--- a/cmd/crocus-edge/main.go
+++ b/cmd/crocus-edge/main.go
@@ -61,7 +61,8 @@
 	store := &platform.MetadataStore{Address: cfg.MetadataStore, Client: client}
 	adapter := edge.Platform{
 		Log: store, Origins: &platform.Journal{Store: store, Topic: platform.OriginsTopic},
-		Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
+		Versions: &platform.KeyedTopic{Store: store, Topic: platform.VersionsTopic},
+		Decoder:  platform.Decoder{}, Dialect: platform.Dialect{},
 		Control: platform.Control{Client: client}, ReadyPath: platform.ReadyPath,
 	}
 	p.edge = edge.NewEdge(cfg.Settings, adapter, net, clock.Now, log.With(logger, "instance", cfg.Name))
--- a/core/pool/versions.go
+++ b/core/pool/versions.go
@@ -8,6 +8,8 @@
 	// Only is the one version that is allowed. If it is empty, all are but those in Except.
 	Only   string
 	Except []string
+	// Among has the versions of which the version must be one; nil allows all of them.
+	Among map[string]bool
 	// First is the number of replicas that may be chosen: those with the lowest Rank, which is
 	// given their id. 0 allows all, and needs no Rank.
 	First int
@@ -16,6 +18,9 @@
 
 // Allow reports whether a replica may have a software version.
 func (v Versions) Allow(software string) bool {
+	if v.Among != nil && !v.Among[software] {
+		return false
+	}
 	if v.Only != "" {
 		return software == v.Only
 	}
@@ -23,7 +28,7 @@
 }
 
 // Restrict reports whether some versions are not allowed.
-func (v Versions) Restrict() bool { return v.Only != "" || len(v.Except) > 0 }
+func (v Versions) Restrict() bool { return v.Only != "" || len(v.Except) > 0 || v.Among != nil }
 
 // highestOfFirst returns the highest rank of the first replicas that a request may use; ok is
 // false if it may use all. Replicas that leave or are in closed data centres don't count,
--- a/entry/adapter/adapter.go
+++ b/entry/adapter/adapter.go
@@ -103,6 +103,15 @@
 	Read(ctx context.Context, part int, from topicview.Position) (values [][]byte, next, end topicview.Position, err error)
 }
 
+// KeyedTopic is a topic of the instances' own. Only the newest record of each key is valid.
+type KeyedTopic interface {
+	// Newest returns the newest record of each key, and the position after the last record.
+	Newest(ctx context.Context) ([]topicview.Record, topicview.Position, error)
+	// Put appends a record, which replaces the earlier one of its key. One without a value
+	// deletes it.
+	Put(ctx context.Context, key string, value []byte) error
+}
+
 // Intent is the configuration that the operators want.
 type Intent struct {
 	Table *route.Table
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -40,6 +40,7 @@
 	"crocusfold.dev/entry/rollouts"
 	"crocusfold.dev/entry/streams"
 	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/versionlog"
 	"crocusfold.dev/shell/clock"
 	"crocusfold.dev/shell/network"
 	"crocusfold.dev/shell/peer"
@@ -78,11 +79,13 @@
 )
 
 // Platform has the adapters to the platform that the instance runs on: its log, the topic of
-// the log in which the instances keep the origins of streams, and so on; and the path of the
-// readiness check that its load balancer uses.
+// the log in which the instances keep the origins of streams, that with the software versions
+// at which streams may begin, and so on; and the path of the readiness check that its load
+// balancer uses.
 type Platform struct {
 	Log       adapter.Log
 	Origins   adapter.Journal
+	Versions  adapter.KeyedTopic
 	Decoder   adapter.Decoder
 	Dialect   adapter.Dialect
 	Control   adapter.Control
@@ -173,7 +176,9 @@
 		Self: self, Endpoint: e.endpoint, Topics: e.topics, Replicas: e.replicas, Decoder: platform.Decoder, Bounds: &e.bounds,
 		Control: platform.Control, Now: now, Logger: part("streams"),
 		Connected: func(now time.Time) bool { _, connected := e.gossip.Rank(now); return connected },
-		OriginLog: &originlog.OriginLog{Name: cfg.Name, Journal: countingJournal{platform.Origins, scope}, Rates: cfg.LogRates, Now: now},
+		Rank:      e.gossip.Rank, Alive: func() int { _, alive := e.gossip.OverlayState(); return alive },
+		VersionLog: &versionlog.VersionLog{Topic: countingTopic{platform.Versions, scope}, Now: now},
+		OriginLog:  &originlog.OriginLog{Name: cfg.Name, Journal: countingJournal{platform.Origins, scope}, Rates: cfg.LogRates, Now: now},
 	}
 	e.gossip.Streams, e.replicas.OnChange, e.topics.OnListLoaded = e.streams, e.streams.ReplicaChanged, e.streams.ListLoaded
 	e.topics.OnRestore = e.writeAgain
@@ -204,6 +209,10 @@
 		Limits: e.limits, Streams: e.streams, Rollouts: e.rollouts, NotifyPeers: e.gossip.NotifyPeers,
 		Queue: cfg.Queue, WatchStalls: cfg.WatchStalls,
 	}
+	e.streams.OnAdmission = func() {
+		e.gossip.NotifyPeers()
+		e.relay.Waiting().WakeAll()
+	}
 	e.gossip.Waiting, e.gossip.Stalls = e.relay.Waiting(), e.relay.Stalls()
 	e.replicas.OnChange = func(now time.Time, r pool.Replica) {
 		e.streams.ReplicaChanged(now, r)
--- a/entry/edge/logcalls.go
+++ b/entry/edge/logcalls.go
@@ -98,3 +98,23 @@
 	countCall(j.scope, "read", "origins", err)
 	return values, next, end, err
 }
+
+// countingTopic counts the calls of a keyed topic in the same way.
+type countingTopic struct {
+	adapter.KeyedTopic
+	scope tally.Scope
+}
+
+// Newest forwards the call and counts its result.
+func (t countingTopic) Newest(ctx context.Context) ([]topicview.Record, topicview.Position, error) {
+	records, end, err := t.KeyedTopic.Newest(ctx)
+	countCall(t.scope, "newest", "versions", err)
+	return records, end, err
+}
+
+// Put forwards the call and counts its result.
+func (t countingTopic) Put(ctx context.Context, key string, value []byte) error {
+	err := t.KeyedTopic.Put(ctx, key, value)
+	countCall(t.scope, "put", "versions", err)
+	return err
+}
--- a/entry/gossip/exchange.go
+++ b/entry/gossip/exchange.go
@@ -112,6 +112,9 @@
 	if g.Crashes.MergeGossip(now, m) || urgent {
 		g.NotifyPeers()
 	}
+	if restarted {
+		g.Streams.InstancesChanged(now)
+	}
 	g.Streams.MergeGossip(now, m)
 	if g.Stalls != nil {
 		g.Stalls.MergeGossip(now, delay, m)
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -118,6 +118,8 @@
 	MergeGossip(now time.Time, m message.Gossip)
 	// FillGossip adds the versions to a message.
 	FillGossip(now time.Time, m *message.Gossip)
+	// InstancesChanged records that an instance started or ended.
+	InstancesChanged(now time.Time)
 }
 
 // Waiting is the state of the requests that wait for replicas.
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -53,6 +53,10 @@
 	// it knows them for no time.
 	SoftwareVersions []ServedVersion `cbor:"45,keyasint,omitempty"`
 	VersionsCovered  time.Duration   `cbor:"46,keyasint,omitempty"`
+	// AdmittedVersions has the software versions at which streams may begin, with the time
+	// since each was last listed. AdmissionsLoaded is true if they are complete.
+	AdmittedVersions []ServedVersion `cbor:"58,keyasint,omitempty"`
+	AdmissionsLoaded bool            `cbor:"59,keyasint,omitempty"`
 	// Leaving has the replicas that stated that they leave, as far as the receiver has not
 	// acknowledged them.
 	Leaving []LeavingReplica `cbor:"47,keyasint,omitempty"`
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -54,6 +54,7 @@
 	pool.Erring:    400 * time.Millisecond,
 
 	rolloutsUnknown: 300 * time.Millisecond,
+	versionPending:  300 * time.Millisecond,
 	versionUnusable: withdrawnRetry,
 }
 
--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -20,6 +20,9 @@
 	rolloutsUnknown pool.Reason = "rollouts-unknown"
 	// versionUnusable means that the version that began a stream may not be used.
 	versionUnusable pool.Reason = "version-unusable"
+	// versionPending means that a software version of a service may not begin streams yet, and
+	// that no replica of the others can take the request.
+	versionPending pool.Reason = "version-pending"
 )
 
 // withdrawnRetry is the delay in the Retry-After header of streams of a version that was
@@ -46,8 +49,7 @@
 		return nil, replicas.Refusal{Reason: rolloutsUnknown}
 	}
 	c.counted = true
-	req.Versions = ro.Allows(now, c.choice)
-	pl, ref := c.relay.Replicas.Place(now, req)
+	pl, ref := c.placeAmong(now, req)
 	if pl != nil {
 		return pl, ref
 	}
@@ -58,13 +60,28 @@
 	if c.choice = ro.Old(now, c.service.Name, c.route.Name); !c.choice.Allowed {
 		return nil, ref
 	}
-	req.Versions = ro.Allows(now, c.choice)
-	if pl, ref = c.relay.Replicas.Place(now, req); pl == nil {
+	if pl, ref = c.placeAmong(now, req); pl == nil {
 		ro.Unsent(now, c.choice)
 	}
 	return pl, ref
 }
 
+// placeAmong chooses a replica among those of the software versions of the choice. A stream
+// that may be resumed begins only at an admitted version.
+func (c *call) placeAmong(now time.Time, req replicas.PlacementRequest) (*replicas.Placement, replicas.Refusal) {
+	req.Versions = c.relay.Rollouts.Allows(now, c.choice)
+	pending := false
+	if c.isResumable() && c.software == "" {
+		req.Versions.Among, pending = c.relay.Streams.Admitted(c.service.Name)
+	}
+	pl, ref := c.relay.Replicas.Place(now, req)
+	if pl == nil && pending && ref.Reason == pool.NoReplica {
+		ref.Reason = versionPending
+		c.relay.Streams.AdmissionNeeded()
+	}
+	return pl, ref
+}
+
 // versionRefusal returns the refusal of a request whose software version may not be used.
 func (c *call) versionRefusal() *refusal {
 	if c.policy.Runs() > 0 {
--- a/entry/streams/origin.go
+++ b/entry/streams/origin.go
@@ -130,7 +130,8 @@
 // onlyVersion returns the version of a service if no other one can have begun a stream that
 // the caller lost before now. What this instance knew before can't show that: another
 // instance may have learnt of a second version meanwhile and begun the stream there. So the
-// list of replicas is read from the log once more.
+// list of replicas is read from the log once more. If several versions are listed, the
+// admitted ones decide.
 func (s *Streams) onlyVersion(ctx context.Context, now time.Time, service string, window, interval time.Duration) (streamorigin.Origin, Source) {
 	only := func() (version string, ok bool) {
 		s.mu.Lock()
@@ -138,14 +139,14 @@
 		return s.history.Only(service, now.Add(-window))
 	}
 	if _, ok := only(); !ok {
-		return streamorigin.Origin{}, Unknown
+		return s.onlyAdmitted(ctx, now, service, window, interval)
 	}
 	if err := s.Topics.ConfirmReplicas(ctx, now, interval); err != nil {
 		return streamorigin.Origin{}, Unknown
 	}
 	version, ok := only()
 	if !ok {
-		return streamorigin.Origin{}, Unknown
+		return s.onlyAdmitted(ctx, now, service, window, interval)
 	}
 	return streamorigin.Origin{Service: service, Version: version}, OnlyVersion
 }
--- a/entry/streams/streams.go
+++ b/entry/streams/streams.go
@@ -4,8 +4,8 @@
 // Each instance keeps the origins of the streams that it began. While several versions serve,
 // it sends them to a few other instances, chosen by rendezvous hashing, so that they outlive
 // it, and writes them to the platform's log, so that they outlive all instances. A stream of
-// which no origin is found began at the only version that served lately, or its origin is not
-// known.
+// which no origin is found began at the only version that served lately, or at the only one
+// that the log records as admitted, or its origin is not known.
 package streams
 
 import (
@@ -13,6 +13,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,7 @@
 	"crocusfold.dev/core/softwareversion"
 	"crocusfold.dev/core/streamorigin"
 	"crocusfold.dev/core/topicview"
+	"crocusfold.dev/core/versionadmission"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/message"
@@ -32,6 +34,7 @@
 	"crocusfold.dev/entry/peerrpc"
 	"crocusfold.dev/entry/replicas"
 	"crocusfold.dev/entry/topics"
+	"crocusfold.dev/entry/versionlog"
 	"crocusfold.dev/shell/clock"
 )
 
@@ -74,6 +77,15 @@
 	Logger   log.Logger
 	// Connected reports whether this instance is connected to a majority of the instances.
 	Connected func(now time.Time) bool
+	// Rank returns the rank of this instance, 0 being the first, and whether it is connected
+	// to a majority of the instances.
+	Rank func(now time.Time) (rank int, connected bool)
+	// Alive returns the number of the other instances that are believed to be alive.
+	Alive func() int
+	// VersionLog has the software versions at which streams may begin. OnAdmission is called
+	// when they may begin at another one.
+	VersionLog  *versionlog.VersionLog
+	OnAdmission func()
 	// Control asks replicas when they started.
 	Control adapter.Control
 	// OriginLog keeps origins on the platform's log.
@@ -98,12 +110,20 @@
 	observedAt time.Time
 	// mixed is true while several versions of a service served lately.
 	mixed bool
+	// listChanged is true if the list of replicas has changed since the last observation.
+	listChanged bool
+	// alive is the last result of Alive.
+	alive      int
+	admissions versionadmission.Admissions
+	// admitted is what requests see of admissions.
+	admitted atomic.Pointer[admissionSnapshot]
 }
 
 // Attach registers the handler for the messages of peers. It must be called before the
 // endpoint serves.
 func (s *Streams) Attach() {
 	s.probes, s.unverified = map[string]*probe{}, map[uint64]unverified{}
+	s.VersionLog.Load = s.loadAdmissions
 	s.OriginLog.Merge = func(origins message.StreamOrigins) { s.merge(s.Now(), origins) }
 	s.Endpoint.Handle(func(ctx context.Context, _ string, msg message.Message) (message.Message, bool, error) {
 		switch m := msg.(type) {
@@ -147,11 +167,12 @@
 	s.owners, s.instances = g, instances
 }
 
-// WriteAgain makes the origins of streams that may still run be written to the log again,
-// since it may have lost them.
+// WriteAgain makes the origins of streams that may still run and the admitted versions be
+// written to the log again, since it may have lost them.
 func (s *Streams) WriteAgain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.admissions.Lost()
 	s.recent.Lost(toLog)
 }
 
@@ -160,11 +181,13 @@
 func (s *Streams) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	s.InstancesChanged(s.Now())
 	wg.Go(func() { s.writeOrigins(ctx) })
+	wg.Go(func() { s.writeAdmissions(ctx) })
 	clock.Every(ctx, sendInterval, func() {
 		now := s.Now()
 		s.mu.Lock()
-		due := now.Sub(s.observedAt) >= observeInterval
+		due := s.listChanged || now.Sub(s.observedAt) >= observeInterval
 		s.mu.Unlock()
 		if due {
 			s.observe(now)
@@ -197,8 +220,12 @@
 		return
 	}
 	s.sweepProbes()
-	window, mixed, sees := s.window(), false, s.seesVersions(now)
+	window, mixed, sees, alive := s.window(), false, s.seesVersions(now), s.Alive()
 	s.mu.Lock()
+	if alive != s.alive {
+		s.alive = alive
+		s.admissions.InstancesChanged(now)
+	}
 	if gap := now.Sub(s.observedAt); s.observedAt.IsZero() || gap <= maxObserveGap && sees {
 		if _, ok := s.history.Covers(); sees && !ok {
 			s.history.Cover(now)
@@ -206,11 +233,12 @@
 	} else {
 		s.history.Uncover()
 	}
-	s.observedAt = now
+	s.observedAt, s.listChanged = now, false
 	s.mu.Unlock()
 	for service := range in.Table.ResumableServices {
 		var all []pool.Replica
 		s.Replicas.WithPool(func(p *pool.Pool) { all = p.All(service) })
+		s.observeAdmissions(now, service, all, in.ClosedDataCentres)
 		s.mu.Lock()
 		for _, r := range all {
 			s.history.See(now, service, r.Software)
@@ -232,6 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.See(now, r.Service, r.Software)
+	s.listChanged = true
 }
 
 // ListLoaded records that this instance has read the list of replicas for the first time.
@@ -382,6 +411,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fillAdmissions(now, m)
 	since, ok := s.history.Covers()
 	if !ok {
 		return
@@ -394,10 +424,13 @@
 	}
 }
 
-// MergeGossip merges the versions that a peer knows to have served.
+// MergeGossip merges the versions that a peer knows to have served and to be admitted.
 func (s *Streams) MergeGossip(now time.Time, m message.Gossip) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.mergeAdmissions(now, m) {
+		go s.OnAdmission()
+	}
 	for _, v := range m.SoftwareVersions {
 		s.history.See(now.Add(-max(0, v.Age)), v.Service, v.Version)
 	}
--- a/entry/topics/restore.go
+++ b/entry/topics/restore.go
@@ -95,6 +95,14 @@
 	r.era, r.at = era, at
 }
 
+// ObserveEra records that the log has been read in an era.
+func (t *Topics) ObserveEra(era uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.publish()
+	t.observeEra(t.Now(), era, 0)
+}
+
 // releaseHeld drops the held records of a topic whose writers have not repeated them in
 // time.
 func (t *Topics) releaseHeld(topic adapter.Topic) {
