relay: the end of an instance does not look like the end of an answer

Cause: the instance framed the body by the end of its own connection, and the system closes the connections of a killed process properly. For callers of HTTP/1.0 this held for all bodies without a length, streams too.

Change: bodies without a length get chunks of the instance's own.

--- a/entry/callerconns/callerconns.go
+++ b/entry/callerconns/callerconns.go
@@ -100,15 +100,37 @@
 	return c, nil
 }
 
-// Context adds the account of a connection to the context of its requests, as
-// http.Server.ConnContext does.
+type connKey struct{}
+
+// Context adds a connection to the context of its requests, as http.Server.ConnContext does.
 func (l *Listener) Context(ctx context.Context, accepted net.Conn) context.Context {
-	if c, ok := accepted.(*conn); ok && c.account != nil {
-		return context.WithValue(ctx, accountKey{}, c.account)
+	if c, ok := accepted.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
 	}
 	return ctx
 }
 
+// AccountOf returns the account of the connection that a request came on, or nil.
+func AccountOf(ctx context.Context) *Account {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.account
+	}
+	return nil
+}
+
+// ResetOnClose sets whether the connection that a request came on is reset when it is closed. It
+// holds for the end of the process too, which otherwise looks like the end of a response that
+// ends with its connection.
+func ResetOnClose(ctx context.Context, reset bool) {
+	sec := -1
+	if reset {
+		sec = 0
+	}
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		_ = c.SetLinger(sec)
+	}
+}
+
 // Observe is to be called with each state of a connection, as http.Server.ConnState is.
 func (l *Listener) Observe(accepted net.Conn, state http.ConnState) {
 	c, ok := accepted.(*conn)
--- a/entry/callerconns/callerconns_test.go
+++ b/entry/callerconns/callerconns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -125,3 +126,34 @@
 func (l pipeListener) Close() error { close(l); return nil }
 
 func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestResetOnClose guards against a body of HTTP/1.0 that looks complete although it was not:
+// the connection is reset unless that was taken back.
+func TestResetOnClose(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		is := is.New(t)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		l := &Listener{Listener: inner}
+		go func() {
+			accepted, err := l.Accept()
+			if err != nil {
+				return
+			}
+			ctx := l.Context(context.Background(), accepted)
+			ResetOnClose(ctx, true)
+			_, _ = io.WriteString(accepted, "part")
+			if complete {
+				ResetOnClose(ctx, false)
+			}
+			// The end of a process closes the descriptor and nothing else.
+			_ = accepted.(*conn).Conn.Close()
+		}()
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		_, err = io.ReadAll(caller)
+		is.Equal(err == nil, complete)
+		_ = caller.Close()
+		_ = inner.Close()
+	}
+}
--- a/entry/callerconns/memory.go
+++ b/entry/callerconns/memory.go
@@ -1,7 +1,6 @@
 package callerconns
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -273,11 +272,3 @@
 		a.end(MemoryNeeded)
 	}
 }
-
-type accountKey struct{}
-
-// AccountOf returns the account of the connection that a request came on, or nil.
-func AccountOf(ctx context.Context) *Account {
-	a, _ := ctx.Value(accountKey{}).(*Account)
-	return a
-}
--- a/entry/gateway/callerror.go
+++ b/entry/gateway/callerror.go
@@ -102,7 +102,23 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writeBody(w, status, "application/json", append(raw, '\n'))
+}
+
+// writeBody writes a response with its length. Without one, the end of this process would look
+// like that of the body to a caller of HTTP/1.0.
+func writeBody(w http.ResponseWriter, status int, contentType string, body []byte) {
+	if contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -46,14 +46,10 @@
 func (r serviceResponse) write(w http.ResponseWriter) {
 	w.Header().Set("X-Request-Id", r.id)
 	w.Header().Set("X-Run", string(attempt.Ran))
-	if r.ContentType != "" {
-		w.Header().Set("Content-Type", r.ContentType)
-	}
 	if r.replayed {
 		w.Header().Set("Idempotency-Replayed", "true")
 	}
-	w.WriteHeader(r.Status)
-	_, _ = w.Write(r.Body)
+	writeBody(w, r.Status, r.ContentType, r.Body)
 }
 
 // service serves a call to a plain service. The path selects the workload.
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -8,6 +8,7 @@
 
 	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
+	"crocusfold.dev/entry/callerconns"
 	"crocusfold.dev/entry/replicas"
 )
 
@@ -97,6 +98,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
+			c.endFraming()
 			c.summary.outcome = "ok"
 			c.observeComplete(pl)
 			c.recordCompleted(pl, resp.StatusCode)
@@ -168,23 +170,26 @@
 	c.answered = true
 }
 
-// setFraming sets how the response to the caller is framed. A stream gets a last chunk of
-// the instance's own, since its events show whether it is complete. The end of another
-// body without a length proves nothing if it is the end of the replica's connection, so
-// that body ends with the caller's connection too.
+// setFraming sets how the response to the caller is framed: by its length, or else in chunks of
+// the instance's own, whose last one is missing if the response breaks off or the instance ends.
+// HTTP/1.0 has no chunks. Such a response ends with its connection, which is reset unless the
+// response is complete.
 func (c *call) setFraming(stream bool) {
-	h := c.w.Header()
-	mirrored := false
-	switch {
-	case stream:
-		h.Del("Content-Length")
-	case c.summary.framing == byLength:
+	if stream {
+		c.w.Header().Del("Content-Length")
+	} else if c.summary.framing == byLength {
 		return
-	case c.summary.framing == byClose:
-		mirrored = true
-		h.Set("Transfer-Encoding", "identity")
 	}
-	c.endsByClose = mirrored || !c.r.ProtoAtLeast(1, 1)
+	if c.endsByClose = !c.r.ProtoAtLeast(1, 1); c.endsByClose {
+		callerconns.ResetOnClose(c.r.Context(), true)
+	}
+}
+
+// endFraming lets the response end, since it is complete.
+func (c *call) endFraming() {
+	if c.endsByClose {
+		callerconns.ResetOnClose(c.r.Context(), false)
+	}
 }
 
 // brokeOff reports whether a stream whose framing is complete was broken off: it ends
