--- a/entry/callerconns/callerconns_test.go
+++ b/entry/callerconns/callerconns_test.go
@@ -141,6 +141,7 @@
 				return
 			}
 			ctx := l.Context(context.Background(), accepted)
+			_, _ = accepted.Read(make([]byte, 1))
 			ResetOnClose(ctx, true)
 			_, _ = io.WriteString(accepted, "part")
 			if complete {
@@ -151,6 +152,8 @@
 		}()
 		caller, err := net.Dial("tcp", inner.Addr().String())
 		is.NoErr(err)
+		_, err = io.WriteString(caller, "x")
+		is.NoErr(err)
 		_, err = io.ReadAll(caller)
 		is.Equal(err == nil, complete)
 		_ = caller.Close()
