relay: no status promises that a request has not run which may have

Cause: the run state of a request was known in one place and its final status chosen in several, the replica among them.

Change: a response with 408, 429 or 503 that shows no refusal is a failed attempt, and all refusals pass one check of the run state. The caller gets a 502 without the seal. crocus-entry does the same in its two places that write responses.

--- a/entry/gateway/callerror.go
+++ b/entry/gateway/callerror.go
@@ -98,7 +98,7 @@
 	if callErr.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(callErr.retryAfterSeconds()))
 	}
-	writeJSON(w, callErr.status, callErr.body())
+	writeJSON(w, attempt.FinalStatus(callErr.status, callErr.runState), callErr.body())
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -49,7 +49,7 @@
 	if r.replayed {
 		w.Header().Set("Idempotency-Replayed", "true")
 	}
-	writeBody(w, r.Status, r.ContentType, r.Body)
+	writeBody(w, attempt.FinalStatus(r.Status, attempt.Ran), r.ContentType, r.Body)
 }
 
 // service serves a call to a plain service. The path selects the workload.
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/retrypolicy"
 	"crocusfold.dev/core/route"
@@ -145,19 +146,27 @@
 	case resp.Header.Get("Content-Encoding") != "":
 		rs.WithPool(func(p *pool.Pool) { p.ReturnedError(now, pl.ID) })
 		return fmt.Errorf("the response has the content encoding %q, which was not requested", resp.Header.Get("Content-Encoding"))
-	case resp.StatusCode >= http.StatusInternalServerError:
+	case resp.StatusCode >= http.StatusInternalServerError, attempt.PromisesNotRun(resp.StatusCode):
 		rs.WithPool(func(p *pool.Pool) { p.ReturnedError(now, pl.ID) })
-		// The error is a response of the service, so it is passed on unless a retry is
-		// allowed. That retry is withdrawn from the budget here.
-		if !c.policy.MayRunAgain(c.attemptLimits()) || c.ctx.Err() != nil {
-			return nil
-		}
-		if c.budget.Withdraw() {
-			c.retryWithdrawn = true
-			return errServerError
-		}
-		c.summary.giveUpReason = retrypolicy.OverBudget
-		c.relay.Metrics.countDeniedRetry(c.service.Name)
+		return c.checkError(resp.StatusCode)
+	}
+	return nil
+}
+
+// checkError returns an error if an error status of a response must not be passed on: since it
+// promises that the request has not run, or since the request may run again, which is withdrawn
+// from the budget here. Otherwise it is a response of the service.
+func (c *call) checkError(status int) error {
+	switch {
+	case attempt.PromisesNotRun(status):
+		return errFalsePromise
+	case !c.policy.MayRunAgain(c.attemptLimits()) || c.ctx.Err() != nil:
+		return nil
+	case c.budget.Withdraw():
+		c.retryWithdrawn = true
+		return errServerError
 	}
+	c.summary.giveUpReason = retrypolicy.OverBudget
+	c.relay.Metrics.countDeniedRetry(c.service.Name)
 	return nil
 }
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -64,6 +64,7 @@
 	errWrongRequest = errors.New("the response belongs to another request")
 	errServerError  = errors.New("the replica responded with a server error")
 	errUnproven     = errors.New("the response refuses a request, but not provably this one")
+	errFalsePromise = errors.New("the replica states that it did not run a request that it may have run")
 	errUnverified   = errors.New("the replica may have started again with another software version")
 	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, wants no requests for a time, or has stated a limit within which the request was not granted")
 )
@@ -79,6 +80,8 @@
 		return "erred"
 	case errors.Is(err, errUnproven):
 		return "unproven"
+	case errors.Is(err, errFalsePromise):
+		return "false-promise"
 	case errors.Is(err, errUnverified):
 		return "unverified"
 	}
@@ -115,7 +118,7 @@
 			continue
 		}
 		c.attemptedReplicas[pl.ID] = true
-		c.hadError = errors.Is(err, errServerError)
+		c.hadError = errors.Is(err, errServerError) || errors.Is(err, errFalsePromise)
 		if ref := c.afterFailure(runState, err); ref != nil {
 			return ref
 		}
@@ -368,6 +371,8 @@
 		case errors.Is(err, errRefused):
 			att.MarkRefused()
 			go discard(resp.Body)
+		case errors.Is(err, errFalsePromise):
+			go discard(resp.Body)
 		case errors.Is(err, errWrongRequest):
 			// The response to this request is still to come.
 			conn.close()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
+	"crocusfold.dev/core/attempt"
 	"crocusfold.dev/core/crashbreaker"
 	"crocusfold.dev/core/eventstream"
 	"crocusfold.dev/core/pool"
@@ -376,7 +377,12 @@
 // delay, so that callers that were refused together don't retry together.
 const retryAfterJitter = 0.5
 
+// refuse sends the final response to a request that is given up. All refusals pass here, so that
+// none promises that a request has not run which may have.
 func (c *call) refuse(ref *refusal) {
+	if c.policy.RunState() != attempt.NotRun && attempt.PromisesNotRun(ref.status) {
+		ref = c.responseLost()
+	}
 	c.summary.outcome, c.summary.status = ref.code, ref.status
 	if ref.abort {
 		c.abort = true
