replicas: the oldest version in use follows from what replicas hold

Cause: OldestFetchedVersions counted from the oldest version to the named one in steps of one, under the lock of all replicas.

Change: it compares the versions that the replicas hold.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -266,6 +267,25 @@
 	return float64(newer) / float64(total)
 }
 
+// OldestInUse returns the oldest weight version of a model, from the version from on, for which
+// NewerShare is less than share; at most limit. Its cost depends on the number of replicas, and
+// not on the versions, which may be any numbers.
+func (p *Pool) OldestInUse(model string, from, limit int, share float64) int {
+	var held []int
+	for _, r := range p.replicas {
+		if v := r.Versions[model]; v != 0 && !r.Draining {
+			held = append(held, v)
+		}
+	}
+	slices.Sort(held)
+	for i, v := range held {
+		if newer := len(held) - i - 1; float64(newer)/float64(len(held)) < share {
+			return min(max(v, from), limit)
+		}
+	}
+	return min(from, limit)
+}
+
 // OwnLoads returns this instance's work in flight, by replica.
 func (p *Pool) OwnLoads() map[string]Load {
 	out := map[string]Load{}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/statedlimit"
 	"crocusfold.dev/script"
@@ -182,3 +185,21 @@
 	n, _ := strconv.Atoi(s)
 	return n
 }
+
+// TestOldestInUse compares OldestInUse with a search that tries all versions.
+func TestOldestInUse(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 5000 {
+		var p Pool
+		for i := range rnd.IntN(9) {
+			p.Set(Replica{ID: fmt.Sprint(i), Service: "s", Versions: map[string]int{"m": rnd.IntN(10)}, Draining: rnd.IntN(4) == 0})
+		}
+		from, limit, share := 1+rnd.IntN(10), 1+rnd.IntN(10), []float64{0.3, 0.6, 1}[rnd.IntN(3)]
+		want := min(from, limit)
+		for want < limit && p.NewerShare("m", want) >= share {
+			want++
+		}
+		is.Equal(p.OldestInUse("m", from, limit, share), want)
+	}
+}
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -200,17 +200,24 @@
 // version. Once stopped, the fetches never start again: the leader frees the context
 // when all instances have stopped fetching it.
 func (rs *Replicas) fetchStopped(now time.Time, model string, version int) bool {
-	if version < rs.oldestFetched[model] {
-		return true
-	}
-	if version >= rs.named[model].version {
-		return false
-	}
-	if now.Sub(rs.configuredAt) >= startupTime && rs.pool.NewerShare(model, version) < stopFetchShare {
-		return false
+	return version < rs.named[model].version && version < rs.stopFetches(now, model, version)
+}
+
+// stopFetches stops the fetches of the context of those versions of a model that are no longer
+// in use, unless that holds for none from the version from on. It returns the oldest version
+// whose context this instance still fetches. An instance that has just started fetches that of
+// the named version only.
+func (rs *Replicas) stopFetches(now time.Time, model string, from int) int {
+	oldest, named := max(rs.oldestFetched[model], 1), rs.named[model].version
+	switch from = max(oldest, from); {
+	case from >= named:
+	case now.Sub(rs.configuredAt) < startupTime:
+		oldest = named
+	case rs.pool.NewerShare(model, from) >= stopFetchShare:
+		oldest = rs.pool.OldestInUse(model, from, named, stopFetchShare)
 	}
-	rs.oldestFetched[model] = version + 1
-	return true
+	rs.oldestFetched[model] = oldest
+	return oldest
 }
 
 // OldestFetchedVersions returns, for each model, the oldest weight version whose context
@@ -219,12 +226,8 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	out := map[string]int{}
-	for model, n := range rs.named {
-		oldest := max(rs.oldestFetched[model], 1)
-		for oldest < n.version && rs.fetchStopped(now, model, oldest) {
-			oldest++
-		}
-		out[model] = oldest
+	for model := range rs.named {
+		out[model] = rs.stopFetches(now, model, 1)
 	}
 	return out
 }
--- a/entry/replicas/place_test.go
+++ b/entry/replicas/place_test.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"math"
 	"net/netip"
 	"strconv"
 	"testing"
@@ -158,3 +159,38 @@
 	n, err := strconv.ParseInt(string(rec.Value), 10, 64)
 	return pool.Replica{ID: rec.Key, Service: "s", Incarnation: n}, err
 }
+
+// TestVersionsAreAnyNumbers guards against work that grows with the number of a weight version, which
+// the operators choose. A second version that is far above the first is named and loaded.
+func TestVersionsAreAnyNumbers(t *testing.T) {
+	for _, version := range []int{2, 1_796_601_600, 1 << 53, math.MaxInt} {
+		is := is.New(t)
+		now := time.UnixMilli(1_000_000)
+		rs := &Replicas{
+			Network: network.Network{}, Logger: log.NewNopLogger(), Bounds: &edgeconfig.LiveBounds{}, Now: func() time.Time { return now },
+		}
+		configure := func(version int) {
+			rs.Configure(&adapter.Intent{Table: route.NewTable(1, route.Limits{}, nil, nil, nil, false), Versions: map[string]int{"m": version}})
+		}
+		set := func(id string, version int) {
+			rs.WithPool(func(p *pool.Pool) {
+				p.Set(pool.Replica{ID: id, Service: "s", Slots: 4, Versions: map[string]int{"m": version}})
+			})
+		}
+		configure(1)
+		now = now.Add(startupTime)
+		for _, id := range []string{"a", "b", "c"} {
+			set(id, 1)
+		}
+		configure(version)
+		is.Equal(rs.OldestFetchedVersions(now), map[string]int{"m": 1})
+		set("a", version)
+		is.Equal(rs.OldestFetchedVersions(now), map[string]int{"m": 1})
+		set("b", version)
+		is.Equal(rs.OldestFetchedVersions(now), map[string]int{"m": version})
+
+		started := &Replicas{Logger: log.NewNopLogger(), Bounds: &edgeconfig.LiveBounds{}, Now: func() time.Time { return now }}
+		started.Configure(&adapter.Intent{Table: route.NewTable(1, route.Limits{}, nil, nil, nil, false), Versions: map[string]int{"m": version}})
+		is.Equal(started.OldestFetchedVersions(now), map[string]int{"m": version})
+	}
+}
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -396,6 +396,12 @@
 			in.Rollouts[service] = order
 		}
 	}
+	if old := t.intent; old != nil {
+		// Weight versions never go back, and an invalid record replaces one that was valid.
+		for model, version := range old.Versions {
+			in.Versions[model] = max(in.Versions[model], version)
+		}
+	}
 	t.intent = &in
 	_ = t.Logger.Log("msg", "An intent is in force.", "version", in.Table.Version, "era", view.Next().Era, "next", view.Next().Offset, "closed", len(in.ClosedDataCentres))
 	t.OnIntent(&in)
