crashbreaker: all shared parts of a prompt are looked at

Cause: only the first 32 shared parts had fingerprints. Beyond that, the records of a crash with very many parts evicted the one that mattered, and the crash record on the platform ended after 200 fingerprints.

Change: all shared parts have fingerprints; the size of a head bounds them. A crash counts first for the parts that have crashes already, records are evicted in batches, pending runs are bounded by their parts, and the record on the platform is written in chunks.

--- a/core/crashbreaker/crashbreaker.go
+++ b/core/crashbreaker/crashbreaker.go
@@ -34,10 +34,13 @@
 	// maxRecords and maxPending bound the records and the pending runs in memory.
 	maxRecords = 2000
 	maxPending = 2000
+	// maxPendingParts bounds the parts of the pending runs together.
+	maxPendingParts = 1 << 18
+	// evictionShare is the share of the records that are evicted at once, so that the cost of
+	// a record does not grow with their number.
+	evictionShare = 1.0 / 16
 	// evictionClasses is the number of classes of records by their crashes: 0, 1, or more.
 	evictionClasses = 3
-	// maxPersisted bounds the records in this instance's record on the platform.
-	maxPersisted = 200
 )
 
 // Run is one run of a request at a replica.
@@ -91,6 +94,8 @@
 	Seed    uint64
 	records map[quarantine.Fingerprint]*record
 	pending []pendingRun
+	// pendingParts is the number of parts of the pending runs.
+	pendingParts int
 	// answered has when the parts of recent successful runs last succeeded.
 	answered recentTimes
 	// changed is when any record last changed.
@@ -146,7 +151,17 @@
 // that are hit by the same crash count once per fingerprint.
 func (b *Breaker) RecordCrash(now time.Time, run Run) {
 	b.recordCrash(now, b.record(now, run.Fingerprint), run)
+	// Parts that have crashes count them first. The new records of a long prompt may evict the
+	// others, those with one crash before all.
+	var unknown []quarantine.Fingerprint
 	for _, fp := range b.blamedParts(now, run.Parts) {
+		if _, ok := b.records[fp]; !ok {
+			unknown = append(unknown, fp)
+			continue
+		}
+		b.recordCrash(now, b.partRecord(now, fp), run)
+	}
+	for _, fp := range unknown {
 		b.recordCrash(now, b.partRecord(now, fp), run)
 	}
 }
@@ -209,10 +224,13 @@
 // passed or its caller left. RecordReplicaCrash counts it if the replica is found
 // to have crashed within pendingTTL.
 func (b *Breaker) RecordPending(now time.Time, run Run) {
-	for len(b.pending) > 0 && (len(b.pending) >= maxPending || now.Sub(b.pending[0].since) > pendingTTL) {
+	for len(b.pending) > 0 && (len(b.pending) >= maxPending || b.pendingParts+len(run.Parts) > maxPendingParts || now.Sub(b.pending[0].since) > pendingTTL) {
+		b.pendingParts -= len(b.pending[0].Parts)
+		b.pending[0] = pendingRun{}
 		b.pending = b.pending[1:]
 	}
 	b.pending = append(b.pending, pendingRun{run, now})
+	b.pendingParts += len(run.Parts)
 }
 
 // RecordReplicaCrash records the crash of an incarnation of a replica, as opposed
@@ -230,7 +248,11 @@
 			kept = append(kept, p)
 		}
 	}
-	b.pending = kept
+	clear(b.pending[len(kept):])
+	b.pending, b.pendingParts = kept, 0
+	for _, p := range kept {
+		b.pendingParts += len(p.Parts)
+	}
 	return crashed
 }
 
--- a/core/crashbreaker/records.go
+++ b/core/crashbreaker/records.go
@@ -132,7 +132,7 @@
 }
 
 // ToPersist returns the records that must outlive all instances: those with more
-// than one crash, the ones with the most crashes first, at most maxPersisted.
+// than one crash, the ones with the most crashes first.
 func (b *Breaker) ToPersist(now time.Time) []Record {
 	var found []*record
 	for _, rec := range b.records {
@@ -144,7 +144,7 @@
 		return cmp.Or(cmp.Compare(y.crashCount(), x.crashCount()), y.lastCrash().Compare(x.lastCrash()))
 	})
 	var out []Record
-	for _, rec := range found[:min(len(found), maxPersisted)] {
+	for _, rec := range found {
 		out = append(out, rec.copy())
 	}
 	return out
@@ -168,26 +168,32 @@
 	return rec
 }
 
-// evict deletes the expired records or, if there are none, the one with the oldest newest
-// crash of those with the fewest crashes.
+// evict deletes the expired records or, if there are none, evictionShare of the records: those
+// with the fewest crashes and, of these, those with the oldest newest crashes.
 func (b *Breaker) evict(now time.Time) {
-	var least *record
+	type candidate struct {
+		fp      quarantine.Fingerprint
+		crashes int
+		newest  time.Time
+	}
+	var all []candidate
 	for fp, rec := range b.records {
 		if rec.expired(now) {
 			delete(b.records, fp)
 			continue
 		}
-		if least == nil || cmp.Or(cmp.Compare(rec.crashCount(), least.crashCount()), rec.newest().Compare(least.newest())) < 0 {
-			least = rec
-		}
+		all = append(all, candidate{fp, rec.crashCount(), rec.newest()})
 	}
 	if len(b.records) < maxRecords {
 		return
 	}
-	delete(b.records, least.Fingerprint)
-	class := least.evictionClass()
-	if at := least.newest(); at.After(b.evictedUntil[class]) {
-		b.evictedUntil[class] = at
+	slices.SortFunc(all, func(x, y candidate) int { return cmp.Or(cmp.Compare(x.crashes, y.crashes), x.newest.Compare(y.newest)) })
+	for _, c := range all[:max(1, int(evictionShare*maxRecords))] {
+		class := min(c.crashes, evictionClasses-1)
+		if c.newest.After(b.evictedUntil[class]) {
+			b.evictedUntil[class] = c.newest
+		}
+		delete(b.records, c.fp)
 	}
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -25,6 +25,11 @@
 
 // NewFingerprint returns the fingerprint of a request body, which may be in pieces.
 func NewFingerprint(pieces ...[]byte) Fingerprint {
+	if len(pieces) == 1 {
+		// A prompt may have very many parts, so that this does not allocate.
+		sum := sha256.Sum256(pieces[0])
+		return Fingerprint(sum[:len(Fingerprint{})])
+	}
 	hash := sha256.New()
 	for _, piece := range pieces {
 		_, _ = hash.Write(piece)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -158,8 +158,8 @@
 	metrics := relay.NewMetrics(scope)
 	e.crashes = relay.NewCrashes(xxhash.Sum64String(cfg.Name))
 	e.crashes.Logger, e.crashes.Metrics, e.crashes.Now = part("crashes"), metrics, now
-	e.crashes.Put = func(ctx context.Context, value []byte) error {
-		return platform.Log.Put(ctx, relay.CrashKeyPrefix+cfg.Name, value)
+	e.crashes.Put = func(ctx context.Context, chunk int, value []byte) error {
+		return platform.Log.Put(ctx, relay.CrashKey(cfg.Name, chunk), value)
 	}
 	e.gossip = &gossip.Gossip{
 		Self: membership.Entry{
--- a/entry/relay/crashes.go
+++ b/entry/relay/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,14 @@
 // CrashKeyPrefix is the prefix of the keys of crash records in the topic of instances.
 const CrashKeyPrefix = "ends/"
 
+// CrashKey returns the key of a chunk of the crash record of an instance.
+func CrashKey(instance string, chunk int) string {
+	if chunk == 0 {
+		return CrashKeyPrefix + instance
+	}
+	return CrashKeyPrefix + instance + "/" + strconv.Itoa(chunk)
+}
+
 // Times of maintaining the crash record.
 const (
 	// writeDelay is the time before a write, so that crashes at the same moment are
@@ -41,8 +50,9 @@
 	Now     func() time.Time
 	// NotifyPeers starts the exchange with the other instances without delay.
 	NotifyPeers func()
-	// Put writes this instance's crash record, under its key.
-	Put func(ctx context.Context, value []byte) error
+	// Put writes a chunk of this instance's crash record under its key. A chunk without a value
+	// is deleted.
+	Put func(ctx context.Context, chunk int, value []byte) error
 	// RequestRecords requests a read of the crash records on the platform. They are
 	// then passed to MergeRecords.
 	RequestRecords func()
@@ -54,6 +64,8 @@
 	loaded bool
 	// unsaved is signalled when the crash record has to be written.
 	unsaved chan struct{}
+	// chunks is the number of chunks that were written. Only Run uses it.
+	chunks int
 	// written has what the crash record on the platform counts; nil if that is not known.
 	written *string
 }
@@ -68,12 +80,13 @@
 // that changed anything.
 func (cr *Crashes) MergeGossip(now time.Time, m message.Gossip) bool {
 	changed := false
+	logged := 0
 	for _, c := range m.Crashes {
 		rec := crashbreaker.Record{Fingerprint: c.Fingerprint, ClearedUntil: clearedUntil(now, c.ClearedAge)}
 		for _, crash := range c.Crashes {
 			rec.Crashes = append(rec.Crashes, crashFrom(now, crash))
 		}
-		changed = cr.merge(now, rec, m.Relation, "peer") || changed
+		changed = cr.merge(now, rec, m.Relation, "peer", &logged) || changed
 	}
 	for _, c := range m.PartCrashes {
 		rec := crashbreaker.Record{Fingerprint: c.Fingerprint, Part: true, ClearedUntil: clearedUntil(now, c.ClearedAge)}
@@ -82,7 +95,7 @@
 			received.SentAt, received.Request = now.Add(-crash.SentAge), crash.Request
 			rec.Crashes = append(rec.Crashes, received)
 		}
-		changed = cr.merge(now, rec, m.Relation, "peer") || changed
+		changed = cr.merge(now, rec, m.Relation, "peer", &logged) || changed
 	}
 	return changed
 }
@@ -102,8 +115,9 @@
 
 // merge merges one record, and reports whether that changed something that other
 // instances need at once. The argument relation is the position of the sender in the overlay,
-// and from says in the log where the record came from.
-func (cr *Crashes) merge(now time.Time, rec crashbreaker.Record, relation peering.Relation, from string) bool {
+// and from says in the log where the record came from. logged is the number of lines on parts
+// that its message had so far.
+func (cr *Crashes) merge(now time.Time, rec crashbreaker.Record, relation peering.Relation, from string, logged *int) bool {
 	cr.mu.Lock()
 	_, before := cr.breaker.Blocked(now, rec.Fingerprint)
 	changed := cr.breaker.Merge(now, rec, relation)
@@ -113,8 +127,11 @@
 		return false
 	}
 	cr.Metrics.crashes.received.Inc(1)
-	if blocked && !(rec.Part && before) {
+	if blocked && !(rec.Part && (before || *logged >= maxLoggedParts)) {
 		cr.logBlocked(now, rec.Fingerprint, rec.Part, from, until)
+		if rec.Part {
+			*logged++
+		}
 	}
 	// A crash hits many parts, most of which are harmless. Their records spread with the
 	// regular exchanges, unless a block begins or ends.
@@ -204,10 +221,11 @@
 	}
 }
 
-// publishParts logs which parts of a run's prompt are blocked, and reports whether any is.
+// publishParts logs which parts of a run's prompt are blocked, at most maxLoggedParts of them,
+// and reports whether any is.
 // It has the crash record written if one of them has more than one crash.
 func (cr *Crashes) publishParts(now time.Time, run crashbreaker.Run) bool {
-	anyBlocked := false
+	logged := 0
 	for _, fp := range run.Parts {
 		cr.mu.Lock()
 		crashes := cr.breaker.CrashCount(fp)
@@ -217,11 +235,13 @@
 			cr.requestWrite()
 		}
 		if blocked {
-			cr.logBlocked(now, fp, true, "", until)
-			anyBlocked = true
+			if logged < maxLoggedParts {
+				cr.logBlocked(now, fp, true, "", until)
+			}
+			logged++
 		}
 	}
-	return anyBlocked
+	return logged > 0
 }
 
 // recordAnswered records that a run with these parts of a prompt does not crash its
@@ -297,6 +317,7 @@
 // those of instances that have ended. The argument wall is the wall-clock time at now.
 // Records that can't be decoded are logged and skipped.
 func (cr *Crashes) MergeRecords(now, wall time.Time, records []topicview.Record) {
+	logged := 0
 	for _, stored := range records {
 		if len(stored.Value) == 0 {
 			continue
@@ -320,7 +341,7 @@
 				}
 				rec.Crashes = append(rec.Crashes, merged)
 			}
-			cr.merge(now, rec, peering.Unrelated, "platform")
+			cr.merge(now, rec, peering.Unrelated, "platform", &logged)
 		}
 	}
 	cr.mu.Lock()
--- a/entry/relay/crashrecord.go
+++ b/entry/relay/crashrecord.go
@@ -73,12 +73,18 @@
 	if same {
 		return nil
 	}
-	raw, err := json.Marshal(p)
+	chunks, err := p.chunks()
 	if err != nil {
-		return fmt.Errorf("encoding the crash record: %w", err)
+		return err
 	}
-	if err := cr.Put(ctx, raw); err != nil {
-		return fmt.Errorf("writing the crash record: %w", err)
+	for i := len(chunks); i < cr.chunks; i++ {
+		chunks = append(chunks, nil)
+	}
+	for i, raw := range chunks {
+		cr.chunks = max(cr.chunks, i+1)
+		if err := cr.Put(ctx, i, raw); err != nil {
+			return fmt.Errorf("writing the crash record: %w", err)
+		}
 	}
 	cr.mu.Lock()
 	cr.written = &counted
@@ -86,6 +92,43 @@
 	return nil
 }
 
+// maxChunkBytes bounds one record on the platform.
+const maxChunkBytes = 128 << 10
+
+// chunks returns the crash record as records that the platform takes, at least one.
+func (p persistedRecord) chunks() ([][]byte, error) {
+	var out [][]byte
+	var chunk persistedRecord
+	size := 0
+	add := func() error {
+		raw, err := json.Marshal(chunk)
+		if err != nil {
+			return fmt.Errorf("encoding the crash record: %w", err)
+		}
+		out, chunk, size = append(out, raw), persistedRecord{}, 0
+		return nil
+	}
+	for _, f := range p.Fingerprints {
+		raw, err := json.Marshal(f)
+		if err != nil {
+			return nil, fmt.Errorf("encoding the crash record: %w", err)
+		}
+		if size > 0 && size+len(raw) > maxChunkBytes {
+			if err := add(); err != nil {
+				return nil, err
+			}
+		}
+		chunk.Fingerprints = append(chunk.Fingerprints, f)
+		size += len(raw) + 1
+	}
+	if size > 0 || len(out) == 0 {
+		if err := add(); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
 // counted lists the crashes in the record without their times, which are computed anew from
 // the clock at each write, and the time of the last success in seconds.
 func (p persistedRecord) counted() string {
--- a/entry/relay/fingerprints.go
+++ b/entry/relay/fingerprints.go
@@ -9,9 +9,6 @@
 	"crocusfold.dev/entry/replicas"
 )
 
-// maxParts bounds the parts of a prompt that have fingerprints.
-const maxParts = 32
-
 // fingerprint returns the hash of the request's account, method, URI, shared parts of the
 // prompt and body. Requests with different ids have the same fingerprint if these are
 // equal.
@@ -26,13 +23,17 @@
 	return c.fp
 }
 
-// partFingerprints returns the fingerprints of the first maxParts shared parts of the
-// prompt.
+// partFingerprints returns the fingerprints of the shared parts of the prompt, which the size of
+// a head bounds.
 func (c *call) partFingerprints() []quarantine.Fingerprint {
 	parts := c.info.SharedParts()
 	if c.partFPs == nil {
-		for _, p := range parts[:min(len(parts), maxParts)] {
-			c.partFPs = append(c.partFPs, quarantine.NewFingerprint([]byte("part\x00"+p.ID)))
+		c.partFPs = make([]quarantine.Fingerprint, 0, len(parts))
+		const prefix = "part\x00"
+		text := []byte(prefix)
+		for _, p := range parts {
+			text = append(text[:len(prefix)], p.ID...)
+			c.partFPs = append(c.partFPs, quarantine.NewFingerprint(text))
 		}
 	}
 	return c.partFPs
