network: the end of a connection counts only if no write was lost

Callers got a part of an answer as the whole: a replica answered a long upload at once with a 200 without a length, sent a part and reset the connection during the upload.

Cause: the system gives the error of a reset to one call. If that is the write of the request, the next read sees a proper end, perhaps before the write has returned.

Change: the end of a connection is unexpected while a write is under way and after one has failed, on all connections to others. A body that ends with its connection is complete only if the whole request was written.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -23,8 +23,14 @@
 	att      atomic.Pointer[attempt.Attempt]
 	firstUse atomic.Pointer[time.Time]
 	refused  atomic.Bool
+	// requestWritten is true once the request that was last bound to the connection was written.
+	requestWritten atomic.Bool
 }
 
+// RequestWritten reports whether the request that was last bound to the connection was written as
+// a whole.
+func (c *Conn) RequestWritten() bool { return c.requestWritten.Load() }
+
 // BelieveRefusal decides whether a refusal with the id got, received on this connection,
 // belongs to the request with the id want (see attempt.ProvesNotRun). It closes the
 // connection unless it can be used again: after a refusal that belongs to another request,
@@ -83,12 +89,22 @@
 // has chosen a connection for the request, new or idle, the connection is bound to
 // the attempt and passed to each of onConn, before the request is written to it.
 func WithAttempt(ctx context.Context, a *attempt.Attempt, onConn ...func(*Conn)) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.Bind(a)
-			for _, f := range onConn {
-				f(c)
+	var conn atomic.Pointer[Conn]
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.requestWritten.Store(false)
+				conn.Store(c)
+				c.Bind(a)
+				for _, f := range onConn {
+					f(c)
+				}
 			}
-		}
-	}})
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := conn.Load(); c != nil && info.Err == nil {
+				c.requestWritten.Store(true)
+			}
+		},
+	})
 }
--- a/entry/relay/checkresponse.go
+++ b/entry/relay/checkresponse.go
@@ -42,6 +42,13 @@
 	return conn == nil || conn.BelieveRefusal(want, got)
 }
 
+// requestWritten reports whether the whole request was written. A body that ends with its
+// connection before that may have been broken off.
+func (u *connUse) requestWritten() bool {
+	conn := u.used.Load()
+	return conn == nil || conn.RequestWritten()
+}
+
 // close closes the connection, whose next response belongs to no request.
 func (u *connUse) close() {
 	if conn := u.used.Load(); conn != nil {
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -391,7 +391,7 @@
 	}
 	c.summary.firstByteTime = now.Sub(c.began)
 	c.observeFirst(pl)
-	if c.copyResponse(pl, resp, sentAt) {
+	if c.copyResponse(pl, resp, sentAt, &conn) {
 		c.relay.Crashes.retractCrashes(c.relay.Now(), pl.ID, pl.Incarnation, conn.firstUse(now))
 	}
 	return true, attempt.Ran, nil
--- a/entry/relay/response.go
+++ b/entry/relay/response.go
@@ -46,7 +46,7 @@
 // copyResponse streams the response to the caller, and reports whether it is complete.
 // If it breaks off, the caller's connection is closed or reset, so that the response does
 // not look complete.
-func (c *call) copyResponse(pl *replicas.Placement, resp *http.Response, sentAt time.Time) bool {
+func (c *call) copyResponse(pl *replicas.Placement, resp *http.Response, sentAt time.Time, used *connUse) bool {
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	removeHopByHopHeaders(resp.Header)
@@ -94,7 +94,7 @@
 				return false
 			}
 		}
-		if err == io.EOF && stream && c.brokeOff() {
+		if err == io.EOF && (stream && c.brokeOff() || c.summary.framing == byClose && !used.requestWritten()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
--- a/shell/network/network.go
+++ b/shell/network/network.go
@@ -74,16 +74,20 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	if n.DialTo != nil {
-		return n.DialTo(ctx, address)
+		inner, err := n.DialTo(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: inner}, nil
 	}
 	d := net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	inner, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
 	}
-	return conn, nil
+	return &conn{Conn: inner}, nil
 }
 
 // Transport returns an HTTP transport that dials over n.
