relay: a response without a final status is no answer

Callers got the statuses 101, 600 and 999 of replicas in trouble as answers, and no byte after 000, with which a place of the replica was lost.

Cause: net/http accepts any three digits. Writing the head of 000 panicked, and places were given back by the next statement.

Change: a response with a status outside of 200 to 599 is a failed attempt whose request may have run, and nothing that it states counts. Places are given back by defer.

--- a/core/attempt/promise.go
+++ b/core/attempt/promise.go
@@ -20,6 +20,10 @@
 	return false
 }
 
+// IsFinal reports whether a status is one of a final response. Any other one, such as that of an
+// informational response, states no outcome.
+func IsFinal(status int) bool { return status >= 200 && status <= 599 }
+
 // FinalStatus returns the status that a caller may get for a request, given the one that an
 // upstream or this instance chose: no promise that the run state does not bear out.
 func FinalStatus(status int, run RunState) int {
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -366,6 +366,9 @@
 // error if the upstream refused the call or the response is incomplete or of another
 // request.
 func (r *serviceRun) readResponse(resp *http.Response, u upstream.Upstream, att *attempt.Attempt) (serviceResponse, error) {
+	if !attempt.IsFinal(resp.StatusCode) {
+		return serviceResponse{}, fmt.Errorf("reading the answer of %s: the status %d is not one of a final response", u.Name, resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceResponseBytes+1))
 	if err != nil {
 		return serviceResponse{}, fmt.Errorf("reading the answer of %s: %w", u.Name, err)
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -64,6 +64,7 @@
 	errWrongRequest = errors.New("the response belongs to another request")
 	errServerError  = errors.New("the replica responded with a server error")
 	errUnproven     = errors.New("the response refuses a request, but not provably this one")
+	errNotFinal     = errors.New("the response has no status of a final response")
 	errFalsePromise = errors.New("the replica states that it did not run a request that it may have run")
 	errUnverified   = errors.New("the replica may have started again with another software version")
 	errNotGranted   = errors.New("the replica may not be sent the request: it leaves, wants no requests for a time, or has stated a limit within which the request was not granted")
@@ -82,6 +83,8 @@
 		return "unproven"
 	case errors.Is(err, errFalsePromise):
 		return "false-promise"
+	case errors.Is(err, errNotFinal):
+		return "not-final"
 	case errors.Is(err, errUnverified):
 		return "unverified"
 	}
@@ -102,14 +105,7 @@
 			c.releasePlacement(pl)
 			return ref
 		}
-		c.summary.attempts++
-		c.relay.Rollouts.Began(c.choice, pl.Software)
-		done, runState, err := c.attempt(pl)
-		if done {
-			c.observeEnd(pl)
-		}
-		c.relay.Rollouts.Ended(c.choice, pl.Software)
-		c.endPlacement(pl)
+		done, runState, err := c.attemptPlaced(pl)
 		if done {
 			return nil
 		}
@@ -125,6 +121,19 @@
 	}
 }
 
+// attemptPlaced makes an attempt at a placed replica and gives its place back, however it ends.
+func (c *call) attemptPlaced(pl *replicas.Placement) (done bool, runState attempt.RunState, err error) {
+	c.summary.attempts++
+	choice := c.choice
+	c.relay.Rollouts.Began(choice, pl.Software)
+	defer c.endPlacement(pl)
+	defer c.relay.Rollouts.Ended(choice, pl.Software)
+	if done, runState, err = c.attempt(pl); done {
+		c.observeEnd(pl)
+	}
+	return done, runState, err
+}
+
 // checkBreaker returns a refusal if the crash breaker does not allow the request now.
 // Crashes may have been recorded since admit, while the request waited or in earlier
 // attempts.
@@ -354,12 +363,17 @@
 		return false, att.RunState(), err
 	}
 	c.sent.headReceived(now, resp)
-	respInfo := c.relay.Dialect.ParseResponse(resp.StatusCode, resp.Header)
-	c.observeResponse(now, pl, respInfo, sentAt)
 	c.connOpened = conn.firstUse(now)
-	err = c.checkResponse(now, pl, resp, respInfo, &conn)
-	if err == nil && respInfo.Succeeded {
-		err = c.checkSoftware(pl)
+	if !attempt.IsFinal(resp.StatusCode) {
+		rs.WithPool(func(p *pool.Pool) { p.Failed(now, pl.ID) })
+		err = errNotFinal
+	} else {
+		respInfo := c.relay.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+		c.observeResponse(now, pl, respInfo, sentAt)
+		err = c.checkResponse(now, pl, resp, respInfo, &conn)
+		if err == nil && respInfo.Succeeded {
+			err = c.checkSoftware(pl)
+		}
 	}
 	if err != nil && !errors.Is(err, errRefused) {
 		c.recordOutcome(now, pl, canary.Outcome{Failed: true, FirstEvent: now.Sub(sentAt)})
