replicas: each weight version is judged from its own naming

Cause: each instance kept the newest named version and its time only.

Change: the versions that are not in force everywhere yet are kept with their times, and peers learn them. Replicas below the version in force are drained at once.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -95,9 +95,9 @@
 func (rl *Reload) Target() int { return rl.target }
 
 // Step returns the actions to take now to bring all engines to the target version.
-// expired means that requests may no longer use older weights; then all engines with
-// older weights are drained at once. Step sorts all by id.
-func (rl *Reload) Step(now time.Time, target int, all []Engine, expired bool) []Action {
+// Engines with weights older than minVersion, which requests may no longer use, are drained at
+// once. Step sorts all by id.
+func (rl *Reload) Step(now time.Time, target int, all []Engine, minVersion int) []Action {
 	if rl.engines == nil {
 		rl.engines = map[string]progress{}
 	}
@@ -105,7 +105,7 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	var out []Action
 	out = append(out, rl.finish(target, all)...)
-	out = append(out, rl.drain(now, target, all, expired)...)
+	out = append(out, rl.drain(now, target, all, minVersion)...)
 	return append(out, rl.load(now, target, all)...)
 }
 
@@ -129,22 +129,30 @@
 	return out
 }
 
-// drain drains further engines up to the limit, or all of them if the old weights expired.
-func (rl *Reload) drain(now time.Time, target int, all []Engine, expired bool) []Action {
+// drain drains further engines up to the limit, and all of them that have weights older than
+// minVersion.
+func (rl *Reload) drain(now time.Time, target int, all []Engine, minVersion int) []Action {
 	var out []Action
 	free := max(1, int(maxDrainedShare*float64(len(all)))) - len(rl.engines)
-	if expired {
-		free = len(all)
-	}
-	// Drain the least loaded engines first, since they are idle soonest.
+	// Drain the least loaded engines first, since they are idle soonest, after those that get no
+	// requests.
+	expired := func(e Engine) bool { return e.Version < minVersion }
 	pending := make([]Engine, 0, len(all))
 	for _, e := range all {
 		if _, ok := rl.engines[e.ID]; !ok && e.Version < target {
 			pending = append(pending, e)
 		}
 	}
-	sort.SliceStable(pending, func(i, j int) bool { return pending[i].Running < pending[j].Running })
-	for _, e := range pending[:max(0, min(free, len(pending)))] {
+	sort.SliceStable(pending, func(i, j int) bool {
+		if x, y := expired(pending[i]), expired(pending[j]); x != y {
+			return x
+		}
+		return pending[i].Running < pending[j].Running
+	})
+	for i, e := range pending {
+		if i >= free && !expired(e) {
+			break
+		}
 		rl.engines[e.ID] = progress{drainedAt: now}
 		out = append(out, Drain{e.ID})
 	}
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestScripts runs the cases in testdata. An engine is written as id:version:running or
-// id:version:running:slots. Times are in milliseconds.
+// id:version:running:slots. Times are in milliseconds. In "expired" all older versions have
+// expired, in "step-from" those before its third argument.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(*testing.T) func([]string) []string {
 		rl := &Reload{}
@@ -23,7 +24,15 @@
 			switch args[0] {
 			case "step", "expired":
 				target, _ := strconv.Atoi(args[2])
-				return show(rl.Step(at(args[1]), target, engines(args[3:]), args[0] == "expired"))
+				minVersion := 0
+				if args[0] == "expired" {
+					minVersion = target
+				}
+				return show(rl.Step(at(args[1]), target, engines(args[3:]), minVersion))
+			case "step-from":
+				target, _ := strconv.Atoi(args[2])
+				minVersion, _ := strconv.Atoi(args[3])
+				return show(rl.Step(at(args[1]), target, engines(args[4:]), minVersion))
 			case "adopt":
 				rl.Adopt(at(args[1]), at(args[2]), args[3])
 			case "refused":
--- a/entry/leader/reload.go
+++ b/entry/leader/reload.go
@@ -27,7 +27,7 @@
 // may not act as the leader, it drops the state of the reload.
 func (l *Leader) stepModel(ctx context.Context, now time.Time, in *adapter.Intent, model string, version int) {
 	engines, byID := l.engines(now, in, model)
-	expired := l.Replicas.OlderVersionsExpired(now, model, version)
+	minVersion := l.Replicas.MinVersion(now, model)
 	l.mu.Lock()
 	if _, ok := l.lease.Token(now); !ok {
 		delete(l.reloads, model)
@@ -44,7 +44,7 @@
 		}
 		l.reloads[model] = r
 	}
-	actions := r.Step(now, version, engines, expired)
+	actions := r.Step(now, version, engines, minVersion)
 	l.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/entry/message/gossip.go
+++ b/entry/message/gossip.go
@@ -26,9 +26,9 @@
 	// OldestFetched has, for each model, the oldest weight version whose context may
 	// still be fetched from stores by any of the instances that Loads covers.
 	OldestFetched []ModelVersion `cbor:"36,keyasint,omitempty"`
-	// NamedVersions has, for each model, the newest weight version that an intent
-	// names, with the time since then. Versions for which the sender does not know that
-	// time are left out.
+	// NamedVersions has, for each model, the weight versions that intents name and that are
+	// not in force everywhere yet, and the newest one before them, with the time since then.
+	// Versions for which the sender does not know that time are left out.
 	NamedVersions []NamedVersion `cbor:"37,keyasint,omitempty"`
 	// Crashes has the crashes of replicas for each fingerprint that was running on
 	// them.
--- a/entry/replicas/peers.go
+++ b/entry/replicas/peers.go
@@ -6,6 +6,7 @@
 	"crocusfold.dev/core/membership"
 	"crocusfold.dev/core/peering"
 	"crocusfold.dev/core/pool"
+	"crocusfold.dev/core/weightversion"
 	"crocusfold.dev/entry/message"
 )
 
@@ -34,9 +35,8 @@
 	})
 	rs.mu.Lock()
 	for _, v := range g.NamedVersions {
-		n := rs.named[v.Model]
-		if n.version == v.Version && !n.ageKnown {
-			rs.named[v.Model] = namedVersion{v.Version, now.Add(-v.Age), true}
+		if h := rs.named[v.Model]; h != nil {
+			h.Learn(weightversion.Named{Version: v.Version, At: now.Add(-v.Age), AgeKnown: true})
 		}
 	}
 	rs.pool.SetPeerLoads(now, g.Name, loads)
@@ -77,9 +77,9 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	rs.filledAt = rs.afterFilled(now)
-	for model, n := range rs.named {
-		if n.ageKnown {
-			g.NamedVersions = append(g.NamedVersions, message.NamedVersion{Model: model, Version: n.version, Age: now.Sub(n.namedAt)})
+	for model, h := range rs.named {
+		for _, n := range h.Known() {
+			g.NamedVersions = append(g.NamedVersions, message.NamedVersion{Model: model, Version: n.Version, Age: now.Sub(n.At)})
 		}
 	}
 	if g.Relation != peering.Unrelated {
--- a/entry/replicas/place.go
+++ b/entry/replicas/place.go
@@ -11,20 +11,26 @@
 	"crocusfold.dev/entry/adapter"
 )
 
-// OlderVersionsExpired reports whether requests may no longer begin on weights that are
-// older than a version.
-func (rs *Replicas) OlderVersionsExpired(now time.Time, model string, version int) bool {
+// MinVersion returns the oldest weight version that requests may begin on; 0 if there is no
+// limit.
+func (rs *Replicas) MinVersion(now time.Time, model string) int {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.minVersion(now, model) >= version
+	return rs.minVersion(now, model)
 }
 
-// minVersion returns the oldest weight version that requests may begin on; 0 if there
-// is no limit.
 func (rs *Replicas) minVersion(now time.Time, model string) int {
-	n := rs.named[model]
-	if n.version > 0 && now.Sub(n.namedAt) >= rs.Bounds.Bounds().Version-versionMargin {
-		return n.version
+	if h := rs.named[model]; h != nil {
+		return h.InForce(now, rs.Bounds.Bounds().Version-versionMargin)
+	}
+	return 0
+}
+
+// namedVersion returns the newest weight version that the operators named for a model; 0 if there
+// is none.
+func (rs *Replicas) namedVersion(model string) int {
+	if h := rs.named[model]; h != nil {
+		return h.Newest().Version
 	}
 	return 0
 }
@@ -167,7 +173,7 @@
 	}
 	p.Fetch = make([]netip.AddrPort, len(req.Parts))
 	p.Save = make([]netip.AddrPort, len(req.Parts))
-	old := p.Version < rs.named[req.Model].version
+	old := p.Version < rs.namedVersion(req.Model)
 	longest := time.Duration(0)
 	for i, part := range req.Parts[:len(req.Parts)-1] {
 		key := directory.Part{Salt: p.Salt, ID: part.ID}
@@ -200,7 +206,7 @@
 // version. Once stopped, the fetches never start again: the leader frees the context
 // when all instances have stopped fetching it.
 func (rs *Replicas) fetchStopped(now time.Time, model string, version int) bool {
-	return version < rs.named[model].version && version < rs.stopFetches(now, model, version)
+	return version < rs.namedVersion(model) && version < rs.stopFetches(now, model, version)
 }
 
 // stopFetches stops the fetches of the context of those versions of a model that are no longer
@@ -208,7 +214,7 @@
 // whose context this instance still fetches. An instance that has just started fetches that of
 // the named version only.
 func (rs *Replicas) stopFetches(now time.Time, model string, from int) int {
-	oldest, named := max(rs.oldestFetched[model], 1), rs.named[model].version
+	oldest, named := max(rs.oldestFetched[model], 1), rs.namedVersion(model)
 	switch from = max(oldest, from); {
 	case from >= named:
 	case now.Sub(rs.configuredAt) < startupTime:
--- a/entry/replicas/replicas.go
+++ b/entry/replicas/replicas.go
@@ -13,6 +13,7 @@
 	"crocusfold.dev/core/limitgroup"
 	"crocusfold.dev/core/pool"
 	"crocusfold.dev/core/topicview"
+	"crocusfold.dev/core/weightversion"
 	"crocusfold.dev/entry/adapter"
 	"crocusfold.dev/entry/edgeconfig"
 	"crocusfold.dev/entry/message"
@@ -83,8 +84,8 @@
 	OnChange func(now time.Time, r pool.Replica)
 
 	mu sync.Mutex
-	// named has the newest weight version that the operators named for each model.
-	named map[string]namedVersion
+	// named has the weight versions that the operators named for each model.
+	named map[string]*weightversion.History
 	// oldestFetched has the oldest weight version of each model whose context is fetched.
 	oldestFetched map[string]int
 	// configuredAt is when the first intent was applied.
@@ -107,15 +108,6 @@
 	clockKnown  bool
 }
 
-// namedVersion is the newest weight version of a model and when it was named. For a
-// version that was named before this instance started, ageKnown is false and namedAt an
-// assumption until a peer reports the version's age.
-type namedVersion struct {
-	version  int
-	namedAt  time.Time
-	ageKnown bool
-}
-
 // versionMargin is subtracted from Bounds.Version. It covers the time until a new
 // version is received, and the time until a replica begins with a request.
 const versionMargin = 800 * time.Millisecond
@@ -252,20 +244,20 @@
 	defer rs.mu.Unlock()
 	first := rs.named == nil
 	if first {
-		rs.named, rs.oldestFetched, rs.configuredAt = map[string]namedVersion{}, map[string]int{}, now
+		rs.named, rs.oldestFetched, rs.configuredAt = map[string]*weightversion.History{}, map[string]int{}, now
 	}
 	for model, version := range in.Versions {
-		if version <= rs.named[model].version {
-			continue
-		}
 		// The versions of the first intent may have been named at any time before
 		// this instance started. Assume the longest time that counts, so that older
 		// weights are not used until a peer reports the version's age.
-		n := namedVersion{version: version, namedAt: now, ageKnown: !first}
+		n := weightversion.Named{Version: version, At: now, AgeKnown: !first}
 		if first {
-			n.namedAt = now.Add(-rs.Bounds.Bounds().Version)
+			n.At = now.Add(-rs.Bounds.Bounds().Version)
+		}
+		if rs.named[model] == nil {
+			rs.named[model] = &weightversion.History{}
 		}
-		rs.named[model] = n
+		rs.named[model].Add(n)
 	}
 	rs.stores = map[string]netip.AddrPort{}
 	configs := map[string]directory.StoreConfig{}
