streams: an outage of the log does not prove old entries of replicas

Cause: a reading of the list later than a heartbeat after the connection was opened counted as proof of the entry. After an outage the first reading comes before the replicas have written again, and it counted even if a report had shown another start.

Change: proofs from the time in which replicas write again after an outage don't count, nor does any for a replica that is known to have started again.

--- a/entry/streams/unverified.go
+++ b/entry/streams/unverified.go
@@ -98,9 +98,10 @@
 }
 
 // listed reports whether the list, proven as of a time or later, has the incarnation of a
-// replica.
+// replica. A proof from the time after an outage of the log in which replicas write again shows
+// entries that they could not replace.
 func (s *Streams) listed(r pool.Replica, asOf time.Time) bool {
-	if s.Topics.ReplicasProof().Before(asOf) {
+	if proof := s.Topics.ReplicasProof(); proof.Before(asOf) || proof.Before(s.Topics.ReplicasRewritten()) {
 		return false
 	}
 	_, ok := s.current(r)
@@ -118,6 +119,9 @@
 // verified reports whether a connection is known to lead to the process that the entry of its
 // replica is about.
 func (s *Streams) verified(c Connection) bool {
+	if s.replaced(c.Replica) {
+		return false
+	}
 	if s.listed(c.Replica, c.OpenedAt.Add(s.entryLag())) {
 		return true
 	}
--- a/entry/topics/topics.go
+++ b/entry/topics/topics.go
@@ -436,6 +436,17 @@
 	return t.views[adapter.Replicas].Proof()
 }
 
+// ReplicasRewritten returns the time by which replicas have written their entries again after the
+// latest outage of the log, as far as known; the zero time if there was none.
+func (t *Topics) ReplicasRewritten() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.recoveredAt.IsZero() {
+		return time.Time{}
+	}
+	return t.recoveredAt.Add(rewriteTime)
+}
+
 // ReplicasProofAge returns the age of the proof that the list of replicas is complete; ok is
 // false if there is none.
 func (t *Topics) ReplicasProofAge(now time.Time) (age time.Duration, ok bool) {
