directory: the reserved space of a store is kept as a sum

Cause: the free space was counted anew for each part, over all pending saves, under the lock of all replicas.

Change: the space of pending saves and of partial writes is kept as a sum.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -96,10 +96,9 @@
 	// listed is true once a listing was applied in this epoch.
 	listed bool
 	// synced is true from a listing until a gap in the events.
-	synced       bool
-	held         map[Part]int
-	pendingSaves map[Part]pendingSave
-	partial      map[Part]partialWrite
+	synced   bool
+	held     map[Part]int
+	reserved reservations
 	// used is the space of the complete parts in tokens.
 	used    int
 	fetches throttle
@@ -150,7 +149,7 @@
 			s.StoreConfig = cfg
 			continue
 		}
-		d.stores[name] = &storeState{StoreConfig: cfg, held: map[Part]int{}, pendingSaves: map[Part]pendingSave{}}
+		d.stores[name] = &storeState{StoreConfig: cfg, held: map[Part]int{}}
 	}
 }
 
@@ -212,16 +211,16 @@
 	}
 	partial := map[Part]partialWrite{}
 	for part, p := range l.Partial {
-		old, ok := s.partial[part]
+		old, ok := s.reserved.partial[part]
 		if !ok || old.Complete != p.Complete {
 			old.lastProgress = now
 		}
 		partial[part] = partialWrite{p, old.lastProgress, now}
 	}
-	s.partial = partial
-	for part := range s.pendingSaves {
+	s.reserved.replacePartial(partial)
+	for part := range s.reserved.pending {
 		if _, ok := l.Held[part]; ok {
-			delete(s.pendingSaves, part)
+			s.reserved.dropSave(part)
 		}
 	}
 }
@@ -232,7 +231,7 @@
 func (d *Directory) StalledWrites(store string) []Part {
 	var out []Part
 	if s, ok := d.stores[store]; ok {
-		for part, p := range s.partial {
+		for part, p := range s.reserved.partial {
 			if p.lastListed.Sub(p.lastProgress) >= writeStallTimeout {
 				out = append(out, part)
 			}
@@ -244,7 +243,7 @@
 // HasPartial reports whether a store has partially written parts.
 func (d *Directory) HasPartial(store string) bool {
 	s, ok := d.stores[store]
-	return ok && len(s.partial) > 0
+	return ok && len(s.reserved.partial) > 0
 }
 
 // Forget drops the known state of a store, for use when the store can't be reached.
@@ -272,13 +271,13 @@
 // journal.
 func (s *storeState) reset(epoch uint64) {
 	generation := s.journal.generation + 1
-	*s = storeState{StoreConfig: s.StoreConfig, epoch: epoch, held: map[Part]int{}, pendingSaves: map[Part]pendingSave{}, journal: journal{generation: generation}}
+	*s = storeState{StoreConfig: s.StoreConfig, epoch: epoch, held: map[Part]int{}, journal: journal{generation: generation}}
 }
 
 func (s *storeState) apply(ev Event) {
 	s.journal.add(ev)
-	delete(s.pendingSaves, ev.Part)
-	delete(s.partial, ev.Part)
+	s.reserved.dropSave(ev.Part)
+	s.reserved.dropPartial(ev.Part)
 	if old, ok := s.held[ev.Part]; ok {
 		s.used -= roundToBlocks(old)
 		delete(s.held, ev.Part)
@@ -295,7 +294,6 @@
 	if s, ok := d.stores[store]; ok {
 		for _, p := range parts {
 			s.apply(Event{Part: p, Removed: true})
-			delete(s.partial, p)
 		}
 	}
 }
@@ -330,7 +328,7 @@
 // returns false if no save of the part is pending.
 func (d *Directory) SavingReplica(now time.Time, p Part) (string, bool) {
 	for _, s := range d.stores {
-		if sv, ok := s.pendingSaves[p]; ok && now.Before(sv.expires) {
+		if sv, ok := s.reserved.pending[p]; ok && now.Before(sv.expires) {
 			return sv.replica, true
 		}
 	}
@@ -362,34 +360,15 @@
 	if best == "" {
 		return "", false
 	}
-	d.stores[best].pendingSaves[p] = pendingSave{tokens, now.Add(saveTimeout), replica}
+	d.stores[best].reserved.add(p, pendingSave{tokens, now.Add(saveTimeout), replica})
 	return best, true
 }
 
 // freeTokens returns the space available for saves in tokens. It drops pending saves
 // that have expired.
 func (s *storeState) freeTokens(now time.Time) int {
-	taken := s.used + s.partialTokens()
-	for p, sv := range s.pendingSaves {
-		if !now.Before(sv.expires) {
-			delete(s.pendingSaves, p)
-			continue
-		}
-		taken += roundToBlocks(sv.tokens)
-	}
-	return int(float64(s.Capacity)*maxFillRatio) - taken
-}
-
-// partialTokens returns the space of partially written parts in tokens. It leaves out
-// parts with a pending save, whose space freeTokens counts with the save.
-func (s *storeState) partialTokens() int {
-	sum := 0
-	for part, p := range s.partial {
-		if _, ok := s.pendingSaves[part]; !ok {
-			sum += roundToBlocks(p.Reserved)
-		}
-	}
-	return sum
+	s.reserved.expire(now)
+	return int(float64(s.Capacity)*maxFillRatio) - s.used - s.reserved.saves - s.reserved.writes
 }
 
 // Stale returns the complete parts of a store whose salt is no longer wanted.
@@ -408,7 +387,7 @@
 // Usage returns the used space and the capacity of a store in tokens.
 func (d *Directory) Usage(store string) (used, capacity int) {
 	if s, ok := d.stores[store]; ok {
-		return s.used + s.partialTokens(), s.Capacity
+		return s.used + s.reserved.writes, s.Capacity
 	}
 	return 0, 0
 }
