relay: a refusal does not wait for a body that never ends

Cause: net/http reads the rest of a body before it writes a refusal, without a deadline.

Change: the rest of a body that is not used has 0.5 s. Then the refusal is written and the connection closed.

--- a/entry/relay/body.go
+++ b/entry/relay/body.go
@@ -15,6 +15,9 @@
 	// which it waits for memory. The largest body of 4 MiB takes 3.4 s at 10 Mbit/s, the slowest
 	// machine's.
 	bodyReadTimeout = 10 * time.Second
+	// refusedBodyTime is how long a refusal waits for the rest of a body that is not used. After
+	// that, the connection is closed with the response.
+	refusedBodyTime = 500 * time.Millisecond
 	// defaultBodyBytes is the maximum size of a body if the configuration sets none.
 	defaultBodyBytes = 4 << 20
 	// memoryRetry is the delay in the Retry-After header of a request that gets no memory.
@@ -30,6 +33,7 @@
 	// The deadline bounds the time for which a stalled caller occupies the instance.
 	// It is cleared after the body, since it would end the request too. After an error
 	// it stays, which keeps net/http from reading the rest of the body.
+	c.bodyUnread = false
 	conn := http.NewResponseController(c.w)
 	deadline := time.Now().Add(bodyReadTimeout)
 	if c.r.ContentLength != 0 {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -126,6 +126,8 @@
 	account route.Account
 	info    adapter.RequestInfo
 	body    callerconns.Body
+	// bodyUnread is true until reading the request's body begins.
+	bodyUnread bool
 	// fp and partFPs are the zero values until they are needed.
 	fp      quarantine.Fingerprint
 	partFPs []quarantine.Fingerprint
@@ -219,7 +221,7 @@
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rl.inFlight.Add(1)
 	defer rl.inFlight.Add(-1)
-	c := &call{relay: rl, w: w, r: r, began: rl.Now(), attemptedReplicas: map[string]bool{}}
+	c := &call{relay: rl, w: w, r: r, began: rl.Now(), attemptedReplicas: map[string]bool{}, bodyUnread: r.ContentLength != 0}
 	defer c.logPanic()
 	// net/http does not say whether a chunked request also had a Content-Length. Such
 	// a request can smuggle a second one, so nothing is read after it.
@@ -389,6 +391,10 @@
 		return
 	}
 	c.closeIfStopping()
+	if c.bodyUnread {
+		// net/http reads the rest of the body before it writes the response, however long that takes.
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(refusedBodyTime))
+	}
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
 		after := ref.retryAfter.Seconds()
