--- a/core/versionadmission/versionadmission.go
+++ b/core/versionadmission/versionadmission.go
@@ -111,7 +111,9 @@
 // Admissions are the admitted software versions of all services. The zero value knows none,
 // not even whether there are any. It is not safe for concurrent use.
 type Admissions struct {
-	loaded     bool
+	loaded bool
+	// incomplete is true if the log has records that this program can't read.
+	incomplete bool
 	window     time.Duration
 	admitted   map[Version]*admission
 	candidates map[Version]candidate
@@ -138,9 +140,10 @@
 // Loaded reports whether the versions that were admitted before are known.
 func (a *Admissions) Loaded() bool { return a.loaded }
 
-// Load takes in all records of the log.
-func (a *Admissions) Load(now time.Time, records []Record) {
-	a.loaded = true
+// Load takes in all records of the log. complete is false if there are others that can't be read;
+// then no version is known to be the only one.
+func (a *Admissions) Load(now time.Time, records []Record, complete bool) {
+	a.loaded, a.incomplete = true, !complete
 	for _, rec := range records {
 		a.admit(now, rec.Version).processes = rec.Processes
 	}
@@ -347,7 +350,7 @@
 // Only returns the version of a service if no other one can have begun a stream that may
 // still be resumed; ok is false if that is not known.
 func (a *Admissions) Only(now time.Time, service string) (name string, ok bool) {
-	if !a.loaded {
+	if !a.loaded || a.incomplete {
 		return "", false
 	}
 	for _, v := range a.versions() {
--- a/core/versionadmission/versionadmission_test.go
+++ b/core/versionadmission/versionadmission_test.go
@@ -17,6 +17,7 @@
 //	at TIME                     the time of the following commands
 //	changed                     an instance started or ended
 //	load VERSION:REPLICA...     the log has these versions
+//	load-part VERSION:REPLICA...  the same, beside records that can't be read
 //	learn VERSION AGE           a peer knows that the version is admitted
 //	lost                        the log may have lost its records
 //	list VERSION:REPLICA...     the list of replicas; REPLICA is ID or ID@INCARNATION, ending in
@@ -38,8 +39,8 @@
 				now = time.Unix(1000, int64(seconds*1e9))
 			case "changed":
 				a.InstancesChanged(now)
-			case "load":
-				a.Load(now, recordsOf(args[1:]))
+			case "load", "load-part":
+				a.Load(now, recordsOf(args[1:]), args[0] == "load")
 			case "learn":
 				age, _ := time.ParseDuration(args[2])
 				a.Learn(now, []Served{{Version{"llm", args[1]}, now.Add(-age)}}, true)
--- a/entry/streams/admission.go
+++ b/entry/streams/admission.go
@@ -75,12 +75,12 @@
 }
 
 // loadAdmissions takes in the records of the log, which is in an era.
-func (s *Streams) loadAdmissions(records []versionadmission.Record, era uint64) {
+func (s *Streams) loadAdmissions(records []versionadmission.Record, complete bool, era uint64) {
 	s.Topics.ObserveEra(era)
 	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.admissions.Load(now, records)
+	s.admissions.Load(now, records, complete)
 	s.publishAdmitted(now)
 }
 
--- a/entry/versionlog/versionlog.go
+++ b/entry/versionlog/versionlog.go
@@ -33,8 +33,9 @@
 type VersionLog struct {
 	Topic adapter.KeyedTopic
 	Now   func() time.Time
-	// Load is called with all records of a read, and the era of the log.
-	Load func(records []versionadmission.Record, era uint64)
+	// Load is called with all records of a read, and the era of the log. complete is false if some
+	// could not be decoded: a later version of the program may write others.
+	Load func(records []versionadmission.Record, complete bool, era uint64)
 
 	reading sharedcall.SharedCall
 }
@@ -48,13 +49,15 @@
 			return fmt.Errorf("reading the admitted versions: %w", err)
 		}
 		var out []versionadmission.Record
+		complete := true
 		for _, raw := range all {
 			if len(raw.Value) == 0 {
 				continue
 			}
 			r, err := records.Decode(raw.Value)
 			if err != nil {
-				return fmt.Errorf("decoding the admitted version %s: %w", raw.Key, err)
+				complete = false
+				continue
 			}
 			rec := versionadmission.Record{Version: versionadmission.Version{Service: r.Service, Name: r.Version}}
 			for _, p := range r.Processes {
@@ -62,7 +65,7 @@
 			}
 			out = append(out, rec)
 		}
-		l.Load(out, end.Era)
+		l.Load(out, complete, end.Era)
 		return nil
 	})
 }
